--- /dev/null
+++ b/cmd/fescuepoint/main.go
@@ -0,0 +1,99 @@
+// Command fescuepoint is the command line of operators and callers.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpoperator"
+)
+
+const (
+	exitFailed  = 1
+	exitUsage   = 2
+	exitRefused = 3
+	exitUnknown = 4
+
+	description = `Drives fescuepoint.
+
+Exit codes: 0 done, 1 failed, 2 wrong usage, 3 refused and in force nowhere or
+not run, 4 outcome unknown: look before you repeat.
+
+Examples:
+  fescuepoint patch change.json --wait
+  fescuepoint config show
+  fescuepoint explain 4711
+  fescuepoint ask --caller http://127.0.0.1:8080 --team-key secret tutor "What is a lanyard?"`
+)
+
+type (
+	arguments struct {
+		Operators string `help:"Address of a host's operators' interface." default:"http://127.0.0.1:9000" env:"FESCUEPOINT_OPERATORS"`
+		Key       string `help:"The operator's key." env:"FESCUEPOINT_KEY"`
+		Output    string `help:"Form of the output." enum:"text,json" default:"text"`
+
+		Patch     patchCommand     `cmd:"" help:"Change the configuration by one version."`
+		Config    configCommand    `cmd:"" help:"Show, check or compare configurations."`
+		Status    statusCommand    `cmd:"" help:"Describe the asked host."`
+		Hosts     hostsCommand     `cmd:"" help:"List the entry hosts as the asked host sees them."`
+		Upstreams upstreamsCommand `cmd:"" help:"List the upstreams as the asked host sees them."`
+		Explain   explainCommand   `cmd:"" help:"Tell what the fleet decided about a request, and why."`
+		Drain     drainCommand     `cmd:"" help:"Begin a planned stop of the asked host."`
+		Order     orderCommand     `cmd:"" help:"Ask for a model's weights version by a patch."`
+		Ask       askCommand       `cmd:"" help:"Send a prompt as a caller."`
+		Call      callCommand      `cmd:"" help:"Call a plain service as a caller."`
+	}
+
+	// session is what every command runs with.
+	session struct {
+		ctx    context.Context
+		client *fpoperator.Client
+		json   bool
+	}
+)
+
+var (
+	errRefused = errors.New("refused")
+	errUnknown = errors.New("the outcome is not known")
+)
+
+func main() {
+	var a arguments
+	k := kong.Parse(&a, kong.Name("fescuepoint"), kong.Description(description), kong.UsageOnError())
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	s := &session{ctx: ctx, client: fpoperator.NewClient(a.Operators, a.Key), json: a.Output == "json"}
+	if err := k.Run(s); err != nil {
+		fmt.Fprintln(os.Stderr, "fescuepoint:", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	switch {
+	case errors.Is(err, errRefused):
+		return exitRefused
+	case errors.Is(err, errUnknown):
+		return exitUnknown
+	default:
+		return exitFailed
+	}
+}
+
+// print writes v as JSON, or calls text.
+func (s *session) print(v any, text func()) error {
+	if !s.json {
+		text()
+		return nil
+	}
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
--- /dev/null
+++ b/cmd/fescuepoint/operator.go
@@ -0,0 +1,317 @@
+package main
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpoperator"
+	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
+)
+
+const (
+	// patchTries bounds how often a patch whose answer was lost is sent again.
+	patchTries = 3
+	retryPause = 300 * time.Millisecond
+)
+
+type (
+	patchCommand struct {
+		File string `arg:"" help:"JSON file with the patch; - reads standard input. Without a Base the current version is used, without an ID a new one is made."`
+		Wait bool   `help:"Wait until every host that can be asked has it in force, and list them."`
+	}
+
+	configCommand struct {
+		Show    showCommand    `cmd:"" help:"Print the configuration in force."`
+		History historyCommand `cmd:"" help:"List the latest patches."`
+		Check   checkCommand   `cmd:"" help:"Check a patch against the configuration in force without sending it."`
+		Diff    diffCommand    `cmd:"" help:"Print what a patch would change."`
+	}
+
+	showCommand    struct{}
+	historyCommand struct{}
+
+	checkCommand struct {
+		File string `arg:"" help:"JSON file with the patch; - reads standard input."`
+	}
+
+	diffCommand struct {
+		File string `arg:"" help:"JSON file with the patch; - reads standard input."`
+	}
+
+	statusCommand    struct{}
+	hostsCommand     struct{}
+	upstreamsCommand struct{}
+	drainCommand     struct{}
+
+	explainCommand struct {
+		ID string `arg:"" help:"Request ID, or config-N, or order-UPSTREAM."`
+	}
+
+	orderCommand struct {
+		Model   string `arg:"" help:"Model."`
+		Weights string `arg:"" help:"Weights version that its replicas should load."`
+		Wait    bool   `help:"Wait until every host that can be asked has it in force."`
+	}
+)
+
+// Run sends the patch; one ID goes through all repeats, so that it is one patch.
+func (c *patchCommand) Run(s *session) error {
+	p, err := readPatch(c.File)
+	if err != nil {
+		return err
+	}
+	return s.patch(p, c.Wait)
+}
+
+// Run patches the model's weights version.
+func (c *orderCommand) Run(s *session) error {
+	a, err := s.client.Config(s.ctx)
+	if err != nil {
+		return err
+	}
+	m, ok := a.Current.Document.Model(c.Model)
+	if !ok {
+		return errors.Wrapf(errRefused, "no model %s", c.Model)
+	}
+	m.Weights = c.Weights
+	return s.patch(fpconfig.Patch{Base: a.Current.Version, Set: fpconfig.Document{Models: []fpconfig.Model{m}}}, c.Wait)
+}
+
+func (s *session) patch(p fpconfig.Patch, wait bool) error {
+	if p.Base == 0 {
+		a, err := s.client.Config(s.ctx)
+		if err != nil {
+			return err
+		}
+		p.Base = a.Current.Version
+	}
+	if p.ID == "" {
+		p.ID = rand.Text()
+	}
+	var r fpoperator.PatchResult
+	var err error
+	for range patchTries {
+		r, err = s.client.Patch(s.ctx, p, wait)
+		if s.ctx.Err() != nil || err == nil && r.Result != fpoperator.OutcomeUnknown || errors.Is(err, fpoperator.ErrKey) {
+			break
+		}
+		time.Sleep(retryPause)
+	}
+	if errors.Is(err, fpoperator.ErrKey) {
+		return errors.Mark(err, errRefused)
+	}
+	if err != nil {
+		return errors.Wrapf(errUnknown, "patch %s: %v", p.ID, err)
+	}
+	return s.patchResult(r)
+}
+
+func (s *session) patchResult(r fpoperator.PatchResult) error {
+	err := s.print(r, func() {
+		fmt.Printf("%s: patch %s", r.Result, r.ID)
+		if r.Version > 0 {
+			fmt.Printf(" is version %d", r.Version)
+		}
+		fmt.Println()
+		for _, h := range r.Hosts {
+			printVersion(h, r.Version)
+		}
+	})
+	switch {
+	case err != nil:
+		return err
+	case r.Result == fpoperator.Refused:
+		return errors.Wrapf(errRefused, "%s (current version %d)", r.Reason, r.Current)
+	case r.Result == fpoperator.OutcomeUnknown:
+		return errors.Wrapf(errUnknown, "patch %s: %s", r.ID, r.Reason)
+	}
+	return nil
+}
+
+func printVersion(h fpoperator.HostVersion, version uint64) {
+	switch {
+	case !h.Reachable:
+		fmt.Printf("  %-16s %-12s could not be asked\n", h.Host, h.AvailabilityZone)
+	case h.Version >= version:
+		fmt.Printf("  %-16s %-12s in force\n", h.Host, h.AvailabilityZone)
+	default:
+		fmt.Printf("  %-16s %-12s still at version %d\n", h.Host, h.AvailabilityZone, h.Version)
+	}
+}
+
+func readPatch(file string) (fpconfig.Patch, error) {
+	var r io.Reader = os.Stdin
+	if file != "-" {
+		f, err := os.Open(file)
+		if err != nil {
+			return fpconfig.Patch{}, err
+		}
+		defer func() { _ = f.Close() }()
+		r = f
+	}
+	d := json.NewDecoder(r)
+	d.DisallowUnknownFields()
+	var p fpconfig.Patch
+	err := d.Decode(&p)
+	return p, errors.Wrap(err, "patch")
+}
+
+// Run prints the configuration.
+func (*showCommand) Run(s *session) error {
+	a, err := s.client.Config(s.ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(a.Current, func() {
+		fmt.Printf("version %d\n", a.Current.Version)
+		data, _ := json.MarshalIndent(a.Current.Document, "", "  ")
+		fmt.Println(string(data))
+	})
+}
+
+// Run lists the latest patches.
+func (*historyCommand) Run(s *session) error {
+	a, err := s.client.Config(s.ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(a.Recent, func() {
+		for _, p := range a.Recent {
+			fmt.Printf("%6d  %-28s %s\n", p.Version(), p.ID, p.Author)
+		}
+	})
+}
+
+func (s *session) applied(file string) (before, after fpconfig.Versioned, err error) {
+	p, err := readPatch(file)
+	if err != nil {
+		return before, after, err
+	}
+	a, err := s.client.Config(s.ctx)
+	if err != nil {
+		return before, after, err
+	}
+	if p.Base == 0 {
+		p.Base = a.Current.Version
+	}
+	after, err = a.Current.Apply(p)
+	return a.Current, after, errors.Mark(err, errRefused)
+}
+
+// Run checks the patch.
+func (c *checkCommand) Run(s *session) error {
+	_, after, err := s.applied(c.File)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("good: would be version %d\n", after.Version)
+	return nil
+}
+
+// Run prints the lines that the patch adds and removes.
+func (c *diffCommand) Run(s *session) error {
+	before, after, err := s.applied(c.File)
+	if err != nil {
+		return err
+	}
+	a, _ := json.MarshalIndent(before.Document, "", "  ")
+	b, _ := json.MarshalIndent(after.Document, "", "  ")
+	printDiff(strings.Split(string(a), "\n"), strings.Split(string(b), "\n"))
+	return nil
+}
+
+// printDiff prints the lines between the common head and tail.
+func printDiff(a, b []string) {
+	head := 0
+	for head < len(a) && head < len(b) && a[head] == b[head] {
+		head++
+	}
+	tail := 0
+	for tail < len(a)-head && tail < len(b)-head && a[len(a)-1-tail] == b[len(b)-1-tail] {
+		tail++
+	}
+	for _, l := range a[head : len(a)-tail] {
+		fmt.Println("-", l)
+	}
+	for _, l := range b[head : len(b)-tail] {
+		fmt.Println("+", l)
+	}
+}
+
+// Run prints the host's status.
+func (*statusCommand) Run(s *session) error {
+	v, err := s.client.Status(s.ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(v, func() {
+		fmt.Printf("%s in %s: version %d, ready %t, draining %t, %d requests under way\n",
+			v.Host, v.AvailabilityZone, v.ConfigVersion, v.Ready, v.Draining, v.Running)
+		for _, n := range v.Notes {
+			fmt.Println("note:", n)
+		}
+	})
+}
+
+// Run lists the hosts.
+func (*hostsCommand) Run(s *session) error {
+	v, err := s.client.Status(s.ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(v.Members, func() {
+		fmt.Printf("%-16s %-12s %-22s %-9s %s\n", v.Host, v.AvailabilityZone, "(asked)", "alive", "version "+fmt.Sprint(v.ConfigVersion))
+		for _, m := range v.Members {
+			fmt.Printf("%-16s %-12s %-22s %-9s version %d\n", m.Name, m.AvailabilityZone, m.Address, m.State, m.ConfigVersion)
+		}
+	})
+}
+
+// Run lists the upstreams.
+func (*upstreamsCommand) Run(s *session) error {
+	v, err := s.client.Status(s.ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(v.Upstreams, func() {
+		for _, u := range v.Upstreams {
+			fmt.Printf("%-16s %-10s %-12s reachable %-5t leaving %-5t weights %-8s queued %d, running %d\n",
+				u.Name, u.Kind, u.AvailabilityZone, u.Reachable, u.Leaving, u.Weights, u.QueuedTokens, u.Running)
+		}
+	})
+}
+
+// Run begins a planned stop.
+func (*drainCommand) Run(s *session) error {
+	v, err := s.client.Drain(s.ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(v, func() { fmt.Printf("%s stops; %d requests under way\n", v.Host, v.Running) })
+}
+
+// Run prints the fleet's records of a request.
+func (c *explainCommand) Run(s *session) error {
+	e, err := s.client.Explain(s.ctx, c.ID)
+	if err != nil {
+		return err
+	}
+	return s.print(e, func() {
+		if len(e.Records) == 0 {
+			fmt.Println("no host keeps a record of", c.ID)
+		}
+		for _, r := range e.Records {
+			fmt.Println(r)
+		}
+		for _, m := range e.Missing {
+			fmt.Println("could not ask", m)
+		}
+	})
+}
--- /dev/null
+++ b/cmd/fescuepointd/main.go
@@ -0,0 +1,75 @@
+// Command fescuepointd is the daemon that runs on every entry host.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/go-kit/log"
+
+	"github.com/fescuepoint/fescuepoint/internal/fphost"
+	"github.com/fescuepoint/fescuepoint/internal/fpsetting"
+)
+
+const (
+	exitFault = 2
+)
+
+type (
+	arguments struct {
+		Settings string `help:"INI file with this host's settings." type:"path" short:"s"`
+		Check    bool   `help:"Check the settings, list every fault and exit."`
+		Document bool   `help:"Print the table of all settings and exit."`
+	}
+)
+
+func main() {
+	var a arguments
+	kong.Parse(&a, kong.Name("fescuepointd"), kong.Description("Routes language-model requests to upstreams."))
+	if a.Document {
+		fmt.Print(fpsetting.Document())
+		return
+	}
+	s, err := fpsetting.Read(a.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFault)
+	}
+	if a.Check {
+		fmt.Println("the settings are good")
+		return
+	}
+	if err := serve(s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// serve runs the host until a signal asks it to stop; a second signal says
+// what is still running.
+func serve(s fpsetting.Settings) error {
+	logger := log.With(log.NewJSONLogger(log.NewSyncWriter(os.Stdout)), "Time", log.DefaultTimestampUTC)
+	h, err := fphost.New(s, logger)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		for range signals {
+			if ctx.Err() != nil {
+				_ = logger.Log("Message", "still stopping", "Host", s.Host.Name, "Under way", h.Running())
+			}
+			cancel()
+		}
+	}()
+	err = h.Run(ctx)
+	_ = logger.Log("Message", "stopped", "Host", s.Host.Name)
+	return err
+}
--- /dev/null
+++ b/internal/fpclock/doc.go
@@ -0,0 +1,2 @@
+// Package fpclock reads a clock that goes on while the machine is suspended.
+package fpclock
--- /dev/null
+++ b/internal/fpgossip/doc.go
@@ -0,0 +1,2 @@
+// Package fpgossip carries heartbeats between hosts as authenticated datagrams.
+package fpgossip
--- /dev/null
+++ b/internal/fpgossip/gossip.go
@@ -0,0 +1,176 @@
+package fpgossip
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fescuepoint/fescuepoint/internal/fppeer/fppeerv1"
+	"github.com/fescuepoint/fescuepoint/pkg/fpmember"
+)
+
+const (
+	// TagBytes is the length of a datagram's authentication tag.
+	TagBytes = 8
+	// MaxDatagramBytes bounds a datagram.
+	MaxDatagramBytes = 1400
+	// IPOverheadBytes is what IP and UDP headers add to a datagram.
+	IPOverheadBytes = 28
+)
+
+// ErrDatagram is returned for a datagram that is malformed or not authentic.
+var ErrDatagram = errors.New("malformed or unauthentic datagram")
+
+type (
+	// Message is a heartbeat with the news that rides on it.
+	Message struct {
+		fpmember.Heartbeat
+		LeavingUpstreams []string
+		Demands          []Demand
+		Shares           []Demand
+	}
+
+	// Demand is a team's use of its limits a second at one host, or its share of them.
+	Demand struct {
+		Team     string
+		Requests float64
+		Tokens   float64
+	}
+
+	// Socket sends and receives messages; it counts bytes, headers included.
+	Socket struct {
+		conn     *net.UDPConn
+		secret   []byte
+		sent     atomic.Int64
+		received atomic.Int64
+	}
+)
+
+// Open returns a socket on an IP number and port.
+func Open(address string, secret []byte) (*Socket, error) {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, errors.Wrap(err, "datagram address")
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, errors.Wrap(err, "datagram socket")
+	}
+	return &Socket{conn: conn, secret: secret}, nil
+}
+
+// Close frees the socket; Receive then returns.
+func (s *Socket) Close() error { return s.conn.Close() }
+
+// Bytes returns the bytes sent and received so far.
+func (s *Socket) Bytes() (sent, received int64) { return s.sent.Load(), s.received.Load() }
+
+// Send sends a message to an address; a lost datagram is not an error.
+func (s *Socket) Send(to string, m Message) error {
+	a, err := netip.ParseAddrPort(to)
+	if err != nil {
+		return errors.Wrap(err, "datagram address")
+	}
+	data := Encode(m, s.secret)
+	s.sent.Add(int64(len(data) + IPOverheadBytes))
+	_, err = s.conn.WriteToUDPAddrPort(data, a)
+	return errors.Wrap(err, "send datagram")
+}
+
+// Receive hands every authentic message to take until the socket is closed or the context ends.
+func (s *Socket) Receive(ctx context.Context, take func(Message)) error {
+	buf := make([]byte, MaxDatagramBytes)
+	for {
+		n, _, err := s.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return errors.Wrap(err, "receive datagram")
+		}
+		s.received.Add(int64(n + IPOverheadBytes))
+		if m, err := Decode(buf[:n], s.secret); err == nil {
+			take(m)
+		}
+	}
+}
+
+// Encode returns a message's datagram.
+func Encode(m Message, secret []byte) []byte {
+	data, err := proto.Marshal(toWire(m))
+	if err != nil {
+		panic(errors.Wrap(err, "fpgossip: message cannot be encoded"))
+	}
+	return append(tag(data, secret), data...)
+}
+
+// Decode returns the message of a datagram, or ErrDatagram.
+func Decode(data, secret []byte) (Message, error) {
+	if len(data) < TagBytes || !hmac.Equal(data[:TagBytes], tag(data[TagBytes:], secret)) {
+		return Message{}, ErrDatagram
+	}
+	var w fppeerv1.Heartbeat
+	if err := proto.Unmarshal(data[TagBytes:], &w); err != nil {
+		return Message{}, errors.Mark(err, ErrDatagram)
+	}
+	return fromWire(&w), nil
+}
+
+func tag(data, secret []byte) []byte {
+	h := hmac.New(sha256.New, secret)
+	_, _ = h.Write(data)
+	return h.Sum(nil)[:TagBytes]
+}
+
+func toWire(m Message) *fppeerv1.Heartbeat {
+	w := &fppeerv1.Heartbeat{
+		Host:             m.Name,
+		Incarnation:      m.Incarnation,
+		Zone:             m.Zone,
+		Sequence:         m.Sequence,
+		ConfigVersion:    m.ConfigVersion,
+		ConfigChecksum:   m.Checksum,
+		Leaving:          m.Leaving,
+		PeerAddress:      m.Address,
+		LeavingUpstreams: m.LeavingUpstreams,
+	}
+	for _, s := range m.Suspicions {
+		w.Suspicions = append(w.Suspicions, &fppeerv1.Suspicion{Host: s.Host, Incarnation: s.Incarnation, Sequence: s.Sequence})
+	}
+	for _, d := range m.Demands {
+		w.Demands = append(w.Demands, &fppeerv1.Demand{Team: d.Team, Requests: float32(d.Requests), Tokens: float32(d.Tokens)})
+	}
+	for _, d := range m.Shares {
+		w.Shares = append(w.Shares, &fppeerv1.Share{Team: d.Team, Requests: float32(d.Requests), Tokens: float32(d.Tokens)})
+	}
+	return w
+}
+
+func fromWire(w *fppeerv1.Heartbeat) Message {
+	var m Message
+	m.Name = w.GetHost()
+	m.Incarnation = w.GetIncarnation()
+	m.Zone = w.GetZone()
+	m.Sequence = w.GetSequence()
+	m.ConfigVersion = w.GetConfigVersion()
+	m.Checksum = w.GetConfigChecksum()
+	m.Leaving = w.GetLeaving()
+	m.Address = w.GetPeerAddress()
+	m.LeavingUpstreams = w.GetLeavingUpstreams()
+	for _, s := range w.GetSuspicions() {
+		m.Suspicions = append(m.Suspicions, fpmember.Suspicion{Host: s.GetHost(), Incarnation: s.GetIncarnation(), Sequence: s.GetSequence()})
+	}
+	for _, d := range w.GetDemands() {
+		m.Demands = append(m.Demands, Demand{Team: d.GetTeam(), Requests: float64(d.GetRequests()), Tokens: float64(d.GetTokens())})
+	}
+	for _, d := range w.GetShares() {
+		m.Shares = append(m.Shares, Demand{Team: d.GetTeam(), Requests: float64(d.GetRequests()), Tokens: float64(d.GetTokens())})
+	}
+	return m
+}
--- /dev/null
+++ b/internal/fphost/gossip.go
@@ -0,0 +1,179 @@
+package fphost
+
+import (
+	"context"
+	"time"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpgossip"
+	"github.com/fescuepoint/fescuepoint/pkg/fplimit"
+	"github.com/fescuepoint/fescuepoint/pkg/fpmember"
+	"github.com/fescuepoint/fescuepoint/pkg/fproute"
+)
+
+const (
+	hostListEvery = 2 * time.Second
+	shareEvery    = 500 * time.Millisecond
+	joinEvery     = 200 * time.Millisecond
+	// followersPerZone is the number of hosts of a zone that watch the platform.
+	followersPerZone = 2
+	// demandsPerMessage keeps a datagram under its bound.
+	demandsPerMessage = 24
+)
+
+// beat sends heartbeats at their pace.
+func (h *Host) beat(ctx context.Context) error {
+	return every(ctx, fpmember.HeartbeatEvery, func() {
+		h.loop.post(ctx, func(c *control) {
+			to := c.table.Tick(time.Now())
+			h.send(c, to)
+		})
+	})
+}
+
+// announce sends a heartbeat at once, for news that others wait for.
+func (h *Host) announce(c *control) {
+	h.send(c, c.table.Contacts())
+}
+
+func (h *Host) send(c *control, to []fpmember.Member) {
+	m := h.message(c)
+	for _, t := range to {
+		if t.Address != "" {
+			_ = h.socket.Send(t.Address, m)
+		}
+	}
+}
+
+func (h *Host) message(c *control) fpgossip.Message {
+	return fpgossip.Message{
+		Heartbeat:        fpmember.Heartbeat{Member: c.table.Self(), Suspicions: c.table.Suspicions()},
+		LeavingUpstreams: c.leaving(),
+	}
+}
+
+// heard takes in another host's message.
+func (h *Host) heard(ctx context.Context, m fpgossip.Message) {
+	for _, s := range m.Shares {
+		h.setShare(s.Team, fplimit.Rates{Requests: s.Requests, Tokens: s.Tokens})
+	}
+	h.loop.post(ctx, func(c *control) {
+		if c.heard(m, time.Now()) {
+			h.pull(ctx, m.Address)
+		}
+		h.allot(c, m)
+	})
+}
+
+// pull fetches what leads to another host's version; one pull runs at a time.
+func (h *Host) pull(ctx context.Context, address string) {
+	if !h.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer h.pulling.Store(false)
+		r, _ := h.follower.Replica()
+		p, err := h.peers.Patches(ctx, address, r.Current().Version)
+		if err != nil {
+			return
+		}
+		h.follower.Offer(p.Patches, p.Snapshot)
+	}()
+}
+
+// join looks for a configuration until some source has answered: the platform
+// and a host of the own or another zone are asked at the same time.
+func (h *Host) join(ctx context.Context) error {
+	next := 0
+	for ctx.Err() == nil {
+		if _, loaded := h.follower.Replica(); loaded {
+			<-ctx.Done()
+			return nil
+		}
+		h.loop.post(ctx, func(c *control) {
+			members := c.table.Members()
+			if len(members) > 0 {
+				h.pull(ctx, members[next%len(members)].Address)
+				next++
+			}
+		})
+		h.wait(ctx, joinEvery)
+	}
+	return nil
+}
+
+// follows reports whether this host is to watch the platform: while it has no
+// configuration, or as one of the first of its zone.
+func (h *Host) follows() bool {
+	if _, loaded := h.follower.Replica(); !loaded {
+		return true
+	}
+	answer := make(chan bool, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	h.loop.post(ctx, func(c *control) { answer <- follower(c.table) })
+	select {
+	case yes := <-answer:
+		return yes
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// follower reports whether the table's own host is among its zone's followers.
+func follower(t *fpmember.Table) bool {
+	self := t.Self()
+	living := t.Living(self.Zone)
+	names := make([]string, 0, len(living))
+	for _, m := range living {
+		names = append(names, m.Name)
+	}
+	for range followersPerZone {
+		i := fproute.Owner("follower/"+self.Zone, names)
+		if i < 0 {
+			return false
+		}
+		if names[i] == self.Name {
+			return true
+		}
+		names = append(names[:i], names[i+1:]...)
+	}
+	return false
+}
+
+// pollHostList reads the platform's list of hosts at its pace.
+func (h *Host) pollHostList(ctx context.Context) error {
+	if h.settings.Platform.HostList == "" {
+		<-ctx.Done()
+		return nil
+	}
+	return every(ctx, hostListEvery, func() {
+		hosts, err := h.upstreams.Hosts(ctx, h.settings.Platform.HostList)
+		if err != nil {
+			return
+		}
+		h.loop.post(ctx, func(c *control) { c.listed(hosts, time.Now()) })
+	})
+}
+
+func (h *Host) wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// every calls f at a pace until the context ends.
+func every(ctx context.Context, d time.Duration, f func()) error {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		f()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/fpmetric/metric.go
@@ -0,0 +1,81 @@
+package fpmetric
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+type (
+	// Set holds one host's metrics; team names come from the configuration
+	// alone, so that their number is bounded.
+	Set struct {
+		set   *metrics.Set
+		cache sync.Map
+	}
+
+	// Series are the metrics of one team and class.
+	Series struct {
+		FirstToken *metrics.Histogram
+		Queue      *metrics.Histogram
+		Hit        *metrics.Counter
+		Recomputed *metrics.Counter
+		team       string
+		class      string
+		set        *metrics.Set
+	}
+
+	seriesKey struct {
+		team  string
+		class string
+	}
+)
+
+// New returns an empty set.
+func New() *Set { return &Set{set: metrics.NewSet()} }
+
+// Series returns the metrics of a team and class.
+func (s *Set) Series(team, class string) *Series {
+	k := seriesKey{team: team, class: class}
+	if v, ok := s.cache.Load(k); ok {
+		return v.(*Series)
+	}
+	l := fmt.Sprintf("{team=%q,class=%q}", team, class)
+	v := &Series{
+		FirstToken: s.set.GetOrCreateHistogram("fescuepoint_first_token_seconds" + l),
+		Queue:      s.set.GetOrCreateHistogram("fescuepoint_predicted_queue_seconds" + l),
+		Hit:        s.set.GetOrCreateCounter("fescuepoint_prompt_tokens_hit_total" + l),
+		Recomputed: s.set.GetOrCreateCounter("fescuepoint_prompt_tokens_recomputed_total" + l),
+		team:       team,
+		class:      class,
+		set:        s.set,
+	}
+	s.cache.Store(k, v)
+	return v
+}
+
+// Ended counts a request's outcome and, for a refusal, its short reason.
+func (s *Series) Ended(outcome, reason string) {
+	s.set.GetOrCreateCounter(fmt.Sprintf("fescuepoint_requests_total{team=%q,class=%q,outcome=%q,reason=%q}", s.team, s.class, outcome, reason)).Inc()
+}
+
+// Answered records when the first token came and how the prompt was found.
+func (s *Series) Answered(first time.Duration, hit, recomputed int) {
+	s.FirstToken.Update(first.Seconds())
+	s.Hit.Add(hit)
+	s.Recomputed.Add(recomputed)
+}
+
+// Count adds to a counter of the host itself.
+func (s *Set) Count(name string, n int) {
+	s.set.GetOrCreateCounter("fescuepoint_" + name + "_total").Add(n)
+}
+
+// Write writes all metrics in the text format that scrapers read.
+func (s *Set) Write(w io.Writer) {
+	s.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/internal/fpoperator/doc.go
@@ -0,0 +1,3 @@
+// Package fpoperator is the operators' interface of a host: its HTTP handler
+// and the client that the command line uses.
+package fpoperator
--- /dev/null
+++ b/internal/fpoperator/handler.go
@@ -0,0 +1,153 @@
+package fpoperator
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpfollower"
+	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
+	"github.com/fescuepoint/fescuepoint/pkg/fprecord"
+)
+
+const (
+	// waitFor bounds how long a patch waits to be in force everywhere.
+	waitFor       = 5 * time.Second
+	maxPatchBytes = 4 << 20
+	bearer        = "Bearer "
+)
+
+type (
+	// Backend is what the handler needs of its host.
+	Backend interface {
+		Status() Status
+		Config() (fpconfig.Versioned, []fpconfig.Patch)
+		Patch(ctx context.Context, p fpconfig.Patch) (uint64, error)
+		Converge(ctx context.Context, version uint64) []HostVersion
+		Explain(ctx context.Context, id string) ([]fprecord.Record, []string)
+		Drain()
+	}
+
+	handler struct {
+		backend  Backend
+		keysFile string
+	}
+)
+
+// NewHandler returns the operators' handler; the keys file is read at each
+// request, so that a key can be withdrawn at once.
+func NewHandler(b Backend, keysFile string) http.Handler {
+	h := &handler{backend: b, keysFile: keysFile}
+	m := http.NewServeMux()
+	m.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, b.Status()) })
+	m.HandleFunc("GET /config", h.config)
+	m.HandleFunc("POST /patch", h.patch)
+	m.HandleFunc("GET /explain/{id}", h.explain)
+	m.HandleFunc("POST /drain", func(w http.ResponseWriter, _ *http.Request) {
+		b.Drain()
+		writeJSON(w, http.StatusAccepted, b.Status())
+	})
+	return h.authenticated(m)
+}
+
+func (h *handler) authenticated(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		name, ok := h.operator(r.Header.Get("Authorization"))
+		if !ok {
+			writeJSON(w, http.StatusUnauthorized, PatchResult{Result: Refused, Reason: "unknown operator key"})
+			return
+		}
+		r.Header.Set("X-Operator", name)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// operator returns the name of the operator whose key was sent.
+func (h *handler) operator(authorization string) (string, bool) {
+	key, ok := strings.CutPrefix(authorization, bearer)
+	if !ok {
+		return "", false
+	}
+	f, err := os.Open(h.keysFile)
+	if err != nil {
+		return "", false
+	}
+	defer func() { _ = f.Close() }()
+	sum := sha256.Sum256([]byte(key))
+	want := hex.EncodeToString(sum[:])
+	for s := bufio.NewScanner(f); s.Scan(); {
+		name, hash, ok := strings.Cut(strings.TrimSpace(s.Text()), " ")
+		if ok && strings.TrimSpace(hash) == want {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+func (h *handler) config(w http.ResponseWriter, _ *http.Request) {
+	current, recent := h.backend.Config()
+	writeJSON(w, http.StatusOK, ConfigAnswer{Current: current, Recent: recent})
+}
+
+func (h *handler) explain(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	records, missing := h.backend.Explain(r.Context(), id)
+	writeJSON(w, http.StatusOK, Explanation{RequestID: id, Records: records, Missing: missing})
+}
+
+func (h *handler) patch(w http.ResponseWriter, r *http.Request) {
+	var p fpconfig.Patch
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPatchBytes))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&p); err != nil {
+		writeJSON(w, http.StatusBadRequest, PatchResult{Result: Refused, Reason: err.Error()})
+		return
+	}
+	if p.ID == "" {
+		writeJSON(w, http.StatusBadRequest, PatchResult{Result: Refused, Reason: "the patch has no ID"})
+		return
+	}
+	p.Author = r.Header.Get("X-Operator")
+	version, err := h.backend.Patch(context.WithoutCancel(r.Context()), p)
+	current, _ := h.backend.Config()
+	result := PatchResult{Result: Accepted, ID: p.ID, Version: version, Current: current.Version}
+	status := http.StatusOK
+	if err != nil {
+		result.Reason = err.Error()
+		result.Result, status = classify(err)
+	}
+	if result.Result == Accepted && r.URL.Query().Get("wait") != "" {
+		ctx, cancel := context.WithTimeout(r.Context(), waitFor)
+		defer cancel()
+		result.Hosts = h.backend.Converge(ctx, version)
+	}
+	writeJSON(w, status, result)
+}
+
+// classify returns the result and status that an error of a patch means.
+func classify(err error) (string, int) {
+	switch {
+	case errors.Is(err, fpfollower.ErrUnknown):
+		return OutcomeUnknown, http.StatusGatewayTimeout
+	case errors.Is(err, fpconfig.ErrStale):
+		return Refused, http.StatusConflict
+	case errors.Is(err, fpconfig.ErrInvalid):
+		return Refused, http.StatusUnprocessableEntity
+	default:
+		return Refused, http.StatusServiceUnavailable
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/fppeer/server.go
@@ -0,0 +1,154 @@
+package fppeer
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpclaimant"
+	"github.com/fescuepoint/fescuepoint/internal/fppeer/fppeerv1"
+	"github.com/fescuepoint/fescuepoint/internal/fppeer/fppeerv1/fppeerv1connect"
+	"github.com/fescuepoint/fescuepoint/pkg/fpclaim"
+	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
+	"github.com/fescuepoint/fescuepoint/pkg/fprecord"
+)
+
+const (
+	// maxWait bounds how long a call may wait at the asked host.
+	maxWait = 30 * time.Second
+)
+
+var errSecret = errors.New("the secret is not that of this fleet")
+
+type (
+	// Backend is what the server needs of its host.
+	Backend interface {
+		Replica() (fpconfig.Replica, bool)
+		SettleClaim(ctx context.Context, c fpclaim.Claim, wait time.Duration) fpclaimant.Settled
+		AnswerOf(ctx context.Context, holder fpclaim.Claim) (fpclaimant.State, fpclaimant.Result)
+		Records(requestID string) []fprecord.Record
+		StatusJSON() []byte
+	}
+
+	server struct {
+		backend Backend
+	}
+)
+
+// NewHandler returns the handler for other hosts, which must present the secret.
+func NewHandler(b Backend, secret []byte) http.Handler {
+	check := connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+			if subtle.ConstantTimeCompare([]byte(r.Header().Get(secretHeader)), secret) != 1 {
+				return nil, connect.NewError(connect.CodeUnauthenticated, errSecret)
+			}
+			return next(ctx, r)
+		}
+	})
+	m := http.NewServeMux()
+	m.Handle(fppeerv1connect.NewPeerHandler(&server{backend: b}, connect.WithInterceptors(check)))
+	return m
+}
+
+// Patches returns what leads from a version to the one in force here.
+func (s *server) Patches(_ context.Context, r *connect.Request[fppeerv1.PatchesRequest]) (*connect.Response[fppeerv1.PatchesResponse], error) {
+	replica, loaded := s.backend.Replica()
+	if !loaded {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("no configuration yet"))
+	}
+	res := &fppeerv1.PatchesResponse{Version: replica.Current().Version}
+	patches, kept := replica.Since(r.Msg.GetSince())
+	if !kept {
+		res.Snapshot = encode(replica.Current())
+		return connect.NewResponse(res), nil
+	}
+	for _, p := range patches {
+		res.Patches = append(res.Patches, encode(p))
+	}
+	return connect.NewResponse(res), nil
+}
+
+// Claim settles a claim for another host.
+func (s *server) Claim(ctx context.Context, r *connect.Request[fppeerv1.ClaimRequest]) (*connect.Response[fppeerv1.ClaimResponse], error) {
+	m := r.Msg
+	claim := fpclaim.Claim{
+		Key:         fpclaim.Key(m.GetKey()),
+		Body:        m.GetBody(),
+		Attempt:     m.GetAttempt(),
+		Host:        m.GetHost(),
+		Incarnation: m.GetIncarnation(),
+		Released:    m.GetReleased(),
+		At:          time.Now().UnixMilli(),
+	}
+	v := s.backend.SettleClaim(ctx, claim, waitOf(m.GetWaitMilliseconds()))
+	return connect.NewResponse(&fppeerv1.ClaimResponse{
+		Verdict:           uint32(v.Verdict),
+		HolderBody:        v.Holder.Body,
+		HolderAttempt:     v.Holder.Attempt,
+		HolderHost:        v.Holder.Host,
+		HolderIncarnation: v.Holder.Incarnation,
+	}), nil
+}
+
+// Answer tells what became of an attempt of this host.
+func (s *server) Answer(ctx context.Context, r *connect.Request[fppeerv1.AnswerRequest]) (*connect.Response[fppeerv1.AnswerResponse], error) {
+	m := r.Msg
+	ctx, cancel := context.WithTimeout(ctx, waitOf(m.GetWaitMilliseconds()))
+	defer cancel()
+	state, result := s.backend.AnswerOf(ctx, fpclaim.Claim{
+		Key:         fpclaim.Key(m.GetKey()),
+		Attempt:     m.GetAttempt(),
+		Incarnation: m.GetIncarnation(),
+	})
+	return connect.NewResponse(&fppeerv1.AnswerResponse{
+		State:       wireState(state),
+		Status:      uint32(result.Status),
+		ContentType: result.ContentType,
+		Body:        result.Body,
+		Upstream:    result.Upstream,
+	}), nil
+}
+
+// Records returns this host's records of a request.
+func (s *server) Records(_ context.Context, r *connect.Request[fppeerv1.RecordsRequest]) (*connect.Response[fppeerv1.RecordsResponse], error) {
+	res := &fppeerv1.RecordsResponse{}
+	for _, v := range s.backend.Records(r.Msg.GetRequestId()) {
+		res.Records = append(res.Records, encode(v))
+	}
+	return connect.NewResponse(res), nil
+}
+
+// Status describes this host.
+func (s *server) Status(context.Context, *connect.Request[fppeerv1.StatusRequest]) (*connect.Response[fppeerv1.StatusResponse], error) {
+	return connect.NewResponse(&fppeerv1.StatusResponse{Status: s.backend.StatusJSON()}), nil
+}
+
+func wireState(s fpclaimant.State) fppeerv1.AnswerResponse_State {
+	switch s {
+	case fpclaimant.Running:
+		return fppeerv1.AnswerResponse_STATE_RUNNING
+	case fpclaimant.Kept:
+		return fppeerv1.AnswerResponse_STATE_KEPT
+	case fpclaimant.NeverDispatched:
+		return fppeerv1.AnswerResponse_STATE_NEVER_DISPATCHED
+	default:
+		return fppeerv1.AnswerResponse_STATE_UNKNOWN
+	}
+}
+
+func waitOf(milliseconds uint32) time.Duration {
+	return min(time.Duration(milliseconds)*time.Millisecond, maxWait)
+}
+
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(errors.Wrap(err, "fppeer: value cannot be encoded"))
+	}
+	return data
+}
--- /dev/null
+++ b/internal/fpplatform/wire.go
@@ -0,0 +1,106 @@
+package fpplatform
+
+type (
+	// KeyValue is a stored key as the protocol writes it.
+	KeyValue struct {
+		Key         []byte `json:"key"`
+		Value       []byte `json:"value,omitempty"`
+		ModRevision int64  `json:"mod_revision,string"`
+		Lease       int64  `json:"lease,string,omitempty"`
+	}
+
+	// Header carries the store's revision.
+	Header struct {
+		Revision int64 `json:"revision,string"`
+	}
+
+	// RangeRequest reads one key.
+	RangeRequest struct {
+		Key []byte `json:"key"`
+	}
+
+	// RangeResponse is the answer to a RangeRequest.
+	RangeResponse struct {
+		Header    Header     `json:"header"`
+		KeyValues []KeyValue `json:"kvs,omitempty"`
+	}
+
+	// PutRequest writes one key, bound to a lease when one is given.
+	PutRequest struct {
+		Key   []byte `json:"key"`
+		Value []byte `json:"value"`
+		Lease int64  `json:"lease,string,omitempty"`
+	}
+
+	// Compare is the condition of a transaction; only EQUAL on MOD is used.
+	Compare struct {
+		Key         []byte `json:"key"`
+		Target      string `json:"target"`
+		Result      string `json:"result"`
+		ModRevision int64  `json:"mod_revision,string"`
+	}
+
+	// Operation is one step of a transaction.
+	Operation struct {
+		Put *PutRequest `json:"requestPut,omitempty"`
+	}
+
+	// TransactionRequest is a compare-and-swap.
+	TransactionRequest struct {
+		Compare []Compare   `json:"compare"`
+		Success []Operation `json:"success"`
+	}
+
+	// TransactionResponse tells whether the swap took place.
+	TransactionResponse struct {
+		Header    Header `json:"header"`
+		Succeeded bool   `json:"succeeded,omitempty"`
+	}
+
+	// LeaseRequest grants, keeps alive or revokes a lease; TTL is in seconds.
+	LeaseRequest struct {
+		ID  int64 `json:"ID,string"`
+		TTL int64 `json:"TTL,string,omitempty"`
+	}
+
+	// LeaseResponse is the answer to a grant; TTL 0 means that the lease is gone.
+	LeaseResponse struct {
+		Header Header `json:"header"`
+		ID     int64  `json:"ID,string"`
+		TTL    int64  `json:"TTL,string,omitempty"`
+	}
+
+	// KeepAliveResponse wraps the answer to a keep-alive.
+	KeepAliveResponse struct {
+		Result LeaseResponse `json:"result"`
+	}
+
+	// WatchRequest waits for events of one key from a revision on.
+	WatchRequest struct {
+		Create WatchCreate `json:"create_request"`
+	}
+
+	// WatchCreate names the key and the first revision of interest.
+	WatchCreate struct {
+		Key           []byte `json:"key"`
+		StartRevision int64  `json:"start_revision,string"`
+	}
+
+	// WatchResponse is one line of a watch's answer.
+	WatchResponse struct {
+		Result WatchResult `json:"result"`
+	}
+
+	// WatchResult says that the watch was created or carries its events.
+	WatchResult struct {
+		Header  Header  `json:"header"`
+		Created bool    `json:"created,omitempty"`
+		Events  []Event `json:"events,omitempty"`
+	}
+
+	// Event is one change of a key; Type DELETE or empty for a put.
+	Event struct {
+		Type     string   `json:"type,omitempty"`
+		KeyValue KeyValue `json:"kv"`
+	}
+)
--- /dev/null
+++ b/internal/fpsetting/settings.go
@@ -0,0 +1,111 @@
+package fpsetting
+
+import (
+	"time"
+)
+
+type (
+	// Settings is everything a daemon is told at start. The tags give each
+	// key's default and its line in docs/SETTINGS.md.
+	Settings struct {
+		Host      Host
+		Callers   Listener
+		Peers     Peers
+		Operators Operators
+		Platform  Platform
+		Zones     Zones
+		Placement Placement
+		Claims    Claims
+		Stop      Stop
+		Limits    Limits
+	}
+
+	// Host says who and where this host is.
+	Host struct {
+		Name             string `doc:"name of this host, unique in the fleet" required:"true"`
+		AvailabilityZone string `doc:"availability zone that this host stands in" required:"true"`
+	}
+
+	// Listener is an address with optional TLS.
+	Listener struct {
+		Address         string `doc:"IP number and port to listen on" kind:"address" required:"true"`
+		CertificateFile string `doc:"PEM file of the TLS certificate; empty serves without TLS"`
+		KeyFile         string `doc:"PEM file of the TLS key"`
+	}
+
+	// Peers is the listener for other hosts and where to find them.
+	Peers struct {
+		Address         string   `doc:"IP number and port for other hosts, TCP and UDP" kind:"address" required:"true"`
+		CertificateFile string   `doc:"PEM file of the TLS certificate; empty serves without TLS"`
+		KeyFile         string   `doc:"PEM file of the TLS key"`
+		AuthorityFile   string   `doc:"PEM file of the authority that signs other hosts' certificates"`
+		SecretFile      string   `doc:"file whose content is the secret that all hosts share" required:"true"`
+		Contacts        []string `doc:"other hosts as name@zone@address, separated by commas; more are learnt from the host list"`
+	}
+
+	// Operators is the listener for operators.
+	Operators struct {
+		Address         string `doc:"IP number and port for operators" kind:"address" required:"true"`
+		CertificateFile string `doc:"PEM file of the TLS certificate; empty serves without TLS"`
+		KeyFile         string `doc:"PEM file of the TLS key"`
+		OperatorKeys    string `doc:"file with one operator a line: name and SHA-256 of the key in hexadecimal" required:"true"`
+	}
+
+	// Platform says where the platform's services are.
+	Platform struct {
+		Address  string `doc:"IP number and port of the key-value service" kind:"address" required:"true"`
+		HostList string `doc:"IP number and port of the list of hosts; empty uses Peers.Contacts alone" kind:"address"`
+	}
+
+	// Zones gives distances.
+	Zones struct {
+		RoundTrips []string `doc:"round trip to upstreams of each zone as zone@duration, separated by commas; others count as 60ms"`
+	}
+
+	// Placement tunes where requests go.
+	Placement struct {
+		RecomputeWeight   float64       `doc:"cost of a recomputed second beyond the request's own wait" default:"1"`
+		HomePrior         float64       `doc:"share of a prefix believed cached at its home without evidence" default:"0.7"`
+		TargetUtilization float64       `doc:"prefill seconds a second at which a prefix gets another replica" default:"0.5"`
+		Spill             time.Duration `doc:"gain that pays for leaving the availability zone" default:"1.5s"`
+		WaitInteractive   time.Duration `doc:"predicted wait beyond which interactive work is refused" default:"20s"`
+		WaitStandard      time.Duration `doc:"predicted wait beyond which standard work is refused" default:"15s"`
+		WaitBulk          time.Duration `doc:"predicted wait beyond which bulk work is refused" default:"10s"`
+		KnownPrefixes     int           `doc:"prefixes remembered, in each of two generations" default:"200000"`
+		Silence           time.Duration `doc:"time without a byte after which a connection counts as silent" default:"1.5s"`
+		Poll              time.Duration `doc:"time between load reports read from an upstream" default:"500ms"`
+	}
+
+	// Claims tunes at-most-once dispatch.
+	Claims struct {
+		Shards   int           `doc:"shards of the claim log; all hosts must agree" default:"32"`
+		Slots    int           `doc:"slots of each shard; all hosts must agree" default:"16"`
+		Window   time.Duration `doc:"time in which a repeat is recognised; all hosts must agree" default:"15m"`
+		Linger   time.Duration `doc:"time that claims wait for others to be written together" default:"3ms"`
+		Dispatch time.Duration `doc:"time from asking for a claim to the latest first byte" default:"5s"`
+	}
+
+	// Stop tunes a planned stop.
+	Stop struct {
+		Notice time.Duration `doc:"time that new connections are still served after /readyz turned off" default:"5s"`
+	}
+
+	// Limits tunes team limits and memory.
+	Limits struct {
+		MaxBodyBytes   int           `doc:"largest request body" default:"16777216"`
+		MaxHeaderBytes int           `doc:"largest request header" default:"65536"`
+		WriteTimeout   time.Duration `doc:"time that a caller may take to read a piece" default:"30s"`
+		KeptAnswers    int           `doc:"answers to non-idempotent requests kept for repeats" default:"10000"`
+		Records        int           `doc:"decision records kept for explain" default:"50000"`
+	}
+)
+
+// Listener returns the listener for other hosts.
+func (p Peers) Listener() Listener {
+	return Listener{Address: p.Address, CertificateFile: p.CertificateFile, KeyFile: p.KeyFile}
+}
+
+// Listener returns the listener for operators.
+func (o Operators) Listener() Listener {
+	return Listener{Address: o.Address, CertificateFile: o.CertificateFile, KeyFile: o.KeyFile}
+}
--- /dev/null
+++ b/internal/fpstate/doc.go
@@ -0,0 +1,3 @@
+// Package fpstate holds the immutable snapshot that the control goroutine
+// publishes and that traffic reads: configuration, replicas, hosts, readiness.
+package fpstate
--- /dev/null
+++ b/internal/fpstate/snapshot.go
@@ -0,0 +1,49 @@
+package fpstate
+
+import (
+	"sync/atomic"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpupstream"
+	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
+	"github.com/fescuepoint/fescuepoint/pkg/fpmember"
+	"github.com/fescuepoint/fescuepoint/pkg/fproute"
+)
+
+type (
+	// Upstream is a declared upstream with its latest report.
+	Upstream struct {
+		fpconfig.Upstream
+		Report    fpupstream.Load
+		Reachable bool
+		Leaving   bool
+	}
+
+	// Snapshot is everything that traffic reads; it never changes once published.
+	Snapshot struct {
+		Config    fpconfig.Versioned
+		Teams     map[string]fpconfig.Team
+		View      fproute.View
+		Services  map[string][]Upstream
+		Upstreams []Upstream
+		Members   []fpmember.Member
+		Ready     bool
+		Draining  bool
+		Notes     []string
+	}
+
+	// Holder publishes snapshots; its zero value holds an empty one.
+	Holder struct {
+		pointer atomic.Pointer[Snapshot]
+	}
+)
+
+// Load returns the latest snapshot.
+func (h *Holder) Load() *Snapshot {
+	if s := h.pointer.Load(); s != nil {
+		return s
+	}
+	return &Snapshot{}
+}
+
+// Publish replaces the snapshot.
+func (h *Holder) Publish(s *Snapshot) { h.pointer.Store(s) }
--- /dev/null
+++ b/pkg/fpconfig/patch.go
@@ -0,0 +1,116 @@
+package fpconfig
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// MaxDocumentBytes is the size at which a document no longer fits the platform's values.
+	MaxDocumentBytes = 1 << 20
+	// Slots is the number of keys that hold the latest patches in the platform's service.
+	Slots = 256
+	// SnapshotEvery is the number of versions after which a new snapshot is due.
+	SnapshotEvery = 32
+)
+
+var (
+	// ErrStale is returned for a patch whose base is not the current version.
+	ErrStale = errors.New("the patch's base is not the current version")
+	// ErrInvalid is returned for a patch whose result is not a valid document.
+	ErrInvalid = errors.New("the patched document is not valid")
+)
+
+type (
+	// Names lists what a patch removes.
+	Names struct {
+		Teams     []string `json:",omitempty"`
+		Models    []string `json:",omitempty"`
+		Services  []string `json:",omitempty"`
+		Upstreams []string `json:",omitempty"`
+	}
+
+	// Patch changes the configuration from version Base to Base+1; ID recognises a repeat.
+	Patch struct {
+		ID     string
+		Base   uint64
+		Author string `json:",omitempty"`
+		Set    Document
+		Remove Names
+	}
+
+	// Versioned is a document with its version and a checksum over both.
+	Versioned struct {
+		Version  uint64
+		Document Document
+	}
+)
+
+// SlotKey returns the platform key that holds the patch leading to version.
+func SlotKey(version uint64) string {
+	return "fescuepoint/config/slot/" + strconv.FormatUint(version%Slots, 10)
+}
+
+// SnapshotKey returns the platform key that holds the latest snapshot.
+func SnapshotKey() string { return "fescuepoint/config/snapshot" }
+
+// Version returns the version that the patch leads to.
+func (p Patch) Version() uint64 { return p.Base + 1 }
+
+// WithBase returns the patch with another base version.
+func (p Patch) WithBase(base uint64) Patch {
+	p.Base = base
+	return p
+}
+
+// Apply returns the next version; ErrStale and ErrInvalid leave v as it was.
+func (v Versioned) Apply(p Patch) (Versioned, error) {
+	if p.Base != v.Version {
+		return v, errors.Wrapf(ErrStale, "base %d, current %d", p.Base, v.Version)
+	}
+	d := Document{
+		Teams:     merge(v.Document.Teams, p.Set.Teams, p.Remove.Teams),
+		Models:    merge(v.Document.Models, p.Set.Models, p.Remove.Models),
+		Services:  merge(v.Document.Services, p.Set.Services, p.Remove.Services),
+		Upstreams: merge(v.Document.Upstreams, p.Set.Upstreams, p.Remove.Upstreams),
+	}
+	if err := d.Check(); err != nil {
+		return v, errors.Mark(errors.Wrap(err, "invalid document"), ErrInvalid)
+	}
+	if n := len(mustJSON(d)); n > MaxDocumentBytes {
+		return v, errors.Wrapf(ErrInvalid, "document of %d bytes, limit %d", n, MaxDocumentBytes)
+	}
+	return Versioned{Version: v.Version + 1, Document: d}, nil
+}
+
+// Checksum returns a hash over the version and the whole document.
+func (v Versioned) Checksum() uint64 { return xxhash.Sum64(mustJSON(v)) }
+
+func merge[T named](items, set []T, remove []string) []T {
+	out := make([]T, 0, len(items)+len(set))
+	for _, it := range items {
+		if !slices.Contains(remove, it.name()) && !containsName(set, it.name()) {
+			out = append(out, it)
+		}
+	}
+	out = append(out, set...)
+	slices.SortStableFunc(out, func(a, b T) int { return cmp.Compare(a.name(), b.name()) })
+	return out
+}
+
+func containsName[T named](items []T, name string) bool {
+	return slices.ContainsFunc(items, func(v T) bool { return v.name() == name })
+}
+
+func mustJSON(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(errors.Wrap(err, "fpconfig: value cannot be encoded"))
+	}
+	return data
+}
--- /dev/null
+++ b/pkg/fpprefix/prefix_test.go
@@ -0,0 +1,65 @@
+package fpprefix
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestSeedSeparates(t *testing.T) {
+	base := Seed{Team: "a", Model: "m", Weights: "1", Adapter: "x"}
+	tests := map[string]Seed{
+		"team":          {Team: "b", Model: "m", Weights: "1", Adapter: "x"},
+		"model":         {Team: "a", Model: "n", Weights: "1", Adapter: "x"},
+		"weights":       {Team: "a", Model: "m", Weights: "2", Adapter: "x"},
+		"adapter":       {Team: "a", Model: "m", Weights: "1", Adapter: "y"},
+		"moved letters": {Team: "am", Model: "", Weights: "1", Adapter: "x"},
+	}
+	text := strings.Repeat("z", BlockBytes)
+	for name, s := range tests {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).True(Chain(base, text)[0] != Chain(s, text)[0])
+		})
+	}
+}
+
+func TestAnalyse(t *testing.T) {
+	text := strings.Repeat("a", 3*BlockBytes) + strings.Repeat("b", BlockBytes/2)
+	tests := map[string]struct {
+		ends   []int
+		tokens []int
+	}{
+		"undeclared":      {nil, []int{1000, 2000, 3000}},
+		"declared":        {[]int{BlockBytes, 3 * BlockBytes}, []int{1000, 3000}},
+		"rounded down":    {[]int{2*BlockBytes + 5}, []int{2000}},
+		"out of range":    {[]int{99 * BlockBytes}, []int{3000}},
+		"too close":       {[]int{BlockBytes, BlockBytes + 1}, []int{1000}},
+		"shorter than 1k": {[]int{10}, nil},
+		"negative":        {[]int{-5}, nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := Analyse(Seed{Team: "t"}, text, tt.ends)
+			is.Equal(p.Tokens, 3500)
+			var got []int
+			for _, l := range p.Levels {
+				got = append(got, l.Tokens)
+			}
+			is.Equal(got, tt.tokens)
+		})
+	}
+}
+
+func FuzzAnalyse(f *testing.F) {
+	f.Add("text", 3, 9)
+	f.Fuzz(func(t *testing.T, text string, a, b int) {
+		p := Analyse(Seed{}, text, []int{a, b})
+		for _, l := range p.Levels {
+			if l.Tokens <= 0 || l.Tokens > p.Tokens {
+				t.Fatalf("level of %d tokens in a prompt of %d", l.Tokens, p.Tokens)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/fprecord/record.go
@@ -0,0 +1,116 @@
+package fprecord
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// Placed records where a request was sent and why.
+	Placed Kind = "Placed"
+	// Refused records that a request was refused.
+	Refused Kind = "Refused"
+	// Retried records that another attempt was made.
+	Retried Kind = "Retried"
+	// Resumed records that an answer was resumed on the same upstream.
+	Resumed Kind = "Resumed"
+	// Continued records that an answer was continued on another upstream.
+	Continued Kind = "Continued"
+	// Claimed records what became of a claim.
+	Claimed Kind = "Claimed"
+	// Ended records a request's outcome.
+	Ended Kind = "Ended"
+	// Ordered records an order to an upstream.
+	Ordered Kind = "Ordered"
+	// Configured records a new configuration version in force.
+	Configured Kind = "Configured"
+)
+
+type (
+	// Kind names a decision.
+	Kind string
+
+	// Figure is a number that decided.
+	Figure struct {
+		Name  string
+		Value float64
+	}
+
+	// Record is one decision.
+	Record struct {
+		At        time.Time
+		Host      string
+		RequestID string
+		Kind      Kind
+		Upstream  string `json:",omitempty"`
+		Reason    string
+		Figures   []Figure `json:",omitempty"`
+	}
+
+	// Ring keeps the latest records; it is safe for concurrent use.
+	Ring struct {
+		mu      sync.Mutex
+		records []Record
+		next    int
+		full    bool
+	}
+)
+
+// NewRing returns a ring of the given size, which must be positive.
+func NewRing(size int) *Ring { return &Ring{records: make([]Record, size)} }
+
+// Add keeps a record, in place of the oldest one when the ring is full.
+func (r *Ring) Add(v Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records[r.next] = v
+	r.next++
+	if r.next == len(r.records) {
+		r.next = 0
+		r.full = true
+	}
+}
+
+// Find returns the kept records of a request, oldest first.
+func (r *Ring) Find(requestID string) []Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Record
+	scan := func(records []Record) {
+		for _, v := range records {
+			if v.RequestID == requestID {
+				out = append(out, v)
+			}
+		}
+	}
+	if r.full {
+		scan(r.records[r.next:])
+	}
+	scan(r.records[:r.next])
+	return out
+}
+
+// String returns the record as a sentence for an operator.
+func (v Record) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s: %s", v.At.UTC().Format("15:04:05.000"), v.Host, v.Kind)
+	if v.Upstream != "" {
+		fmt.Fprintf(&b, " at %s", v.Upstream)
+	}
+	if v.Reason != "" {
+		fmt.Fprintf(&b, ": %s", v.Reason)
+	}
+	for i, f := range v.Figures {
+		sep := ", "
+		if i == 0 {
+			sep = " ("
+		}
+		fmt.Fprintf(&b, "%s%s %.4g", sep, f.Name, f.Value)
+	}
+	if len(v.Figures) > 0 {
+		b.WriteByte(')')
+	}
+	return b.String()
+}
--- /dev/null
+++ b/pkg/fproute/router.go
@@ -0,0 +1,97 @@
+package fproute
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fescuepoint/fescuepoint/pkg/fpprefix"
+)
+
+type (
+	// Router is one host's placement state: knowledge of caches, own work,
+	// demand and circuits. It is not safe for concurrent use.
+	Router struct {
+		settings  Settings
+		knowledge *Knowledge
+		demand    *demand
+		load      *loadBook
+		circuits  map[string]*circuit
+		hashes    map[string]uint64
+		budget    RetryBudget
+	}
+)
+
+// NewRouter returns a router without any knowledge.
+func NewRouter(s Settings) *Router {
+	s = s.WithDefaults()
+	return &Router{
+		settings:  s,
+		knowledge: NewKnowledge(s.KnowledgeKeys),
+		demand:    newDemand(s.KnowledgeKeys),
+		load:      newLoadBook(),
+		circuits:  make(map[string]*circuit),
+		hashes:    make(map[string]uint64),
+	}
+}
+
+// Knowledge returns the router's knowledge, for events and resyncs to correct.
+func (r *Router) Knowledge() *Knowledge { return r.knowledge }
+
+// Budget returns the router's retry budget.
+func (r *Router) Budget() *RetryBudget { return &r.budget }
+
+// Dispatched records that the request was sent to the candidate.
+func (r *Router) Dispatched(q Request, c Candidate, now time.Time) {
+	r.load.sent(c.Replica, q.ID, c.MissTokens, now)
+	r.circuit(c.Replica).dispatched()
+	for _, l := range q.Prompt.Levels {
+		r.knowledge.Stored(l.Key, c.Replica, c.Incarnation, now)
+	}
+}
+
+// FirstToken records that the candidate began to answer and how many prompt tokens it had cached.
+func (r *Router) FirstToken(q Request, c Candidate, cached int, now time.Time) {
+	r.load.begin(c.Replica, q.ID)
+	r.circuit(c.Replica).succeeded()
+	r.knowledge.Observe(q.Prompt, c.Replica, c.Incarnation, cached, now)
+}
+
+// Failed records that an attempt at the candidate failed, which says nothing of its caches.
+func (r *Router) Failed(q Request, c Candidate, now time.Time) {
+	r.load.begin(c.Replica, q.ID)
+	r.circuit(c.Replica).failed(now)
+}
+
+// Restarted records that a replica came back empty.
+func (r *Router) Restarted(replica string) {
+	r.load.forget(replica)
+	r.knowledge.Forget(replica)
+	delete(r.circuits, replica)
+}
+
+func (r *Router) circuit(replica string) *circuit {
+	c := r.circuits[replica]
+	if c == nil {
+		c = &circuit{}
+		r.circuits[replica] = c
+	}
+	return c
+}
+
+func (r *Router) hash(replica string) uint64 {
+	h, ok := r.hashes[replica]
+	if !ok {
+		h = xxhash.Sum64String(replica)
+		r.hashes[replica] = h
+	}
+	return h
+}
+
+// want records the request's demand on each level and returns nothing; the
+// work is what a request costs beyond that level.
+func (r *Router) want(p fpprefix.Prompt, prefillRate float64, now time.Time) {
+	for _, l := range homeLevels(p.Levels) {
+		r.demand.add(l.Key, float64(p.Tokens-l.Tokens)/prefillRate, now)
+	}
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,44 @@
+#!/usr/bin/env bash
+# Formatter, linter, tests and model checks. Tests named in KNOWN-RED.txt are
+# run apart: their results are printed and don't decide the verdict.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+echo "== formatter"
+unformatted=$(go tool gofumpt -l cmd internal pkg | grep -v -E '\.pb\.go$|\.connect\.go$' || true)
+if [ -n "$unformatted" ]; then
+  echo "not formatted: $unformatted" >&2
+  exit 1
+fi
+
+echo "== linter"
+go vet ./...
+go tool revive -config revive.toml -set_exit_status -exclude ./internal/fppeer/fppeerv1/... ./...
+
+echo "== tests"
+red=$(sed -n 's/^Test: *//p' KNOWN-RED.txt | sort -u)
+skip=()
+if [ -n "$red" ]; then
+  pattern="^($(echo "$red" | awk '{print $2}' | paste -sd'|'))\$"
+  skip=(-skip "$pattern")
+fi
+go test -count=1 "${skip[@]}" ./...
+
+if [ -n "$red" ]; then
+  echo "== known red, printed and passed over"
+  cat KNOWN-RED.txt
+  while read -r package test; do
+    if go test -count=1 -run "^$test\$" "$package"; then
+      echo "known red $test passes now: take it off KNOWN-RED.txt"
+    else
+      echo "known red $test is still red"
+    fi
+  done <<<"$red"
+fi
+
+echo "== model checks"
+bash scripts/model.sh
+
+echo "== the whole path in separate processes"
+go build -o bin/ ./cmd/...
+bash scripts/run.sh
