--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -36,7 +36,7 @@
 for spec in *.pml; do
   [ -e "$spec" ] || continue
   check "$spec" "" 0
-  for without in $(sed -n 's/^#ifndef \(WITHOUT_[A-Z_]*\).*/\1/p' "$spec" | sort -u); do
+  for without in $(sed -n 's/^#ifn*def \(WITHOUT_[A-Z_]*\).*/\1/p' "$spec" | sort -u); do
     check "$spec" "-D$without" 1
   done
 done
