Configuration under racing operators and lost answers; two faults mended

Also a lock was held over calls to the platform; a patch now gives up waiting when its caller does.

Conclusion: the rule of specs/config.pml was right; the code had missed its check of the slot.

--- a/internal/fpfollower/follower.go
+++ b/internal/fpfollower/follower.go
@@ -45,14 +45,20 @@
 		snapshot uint64
 		note     string
 		moved    chan struct{}
-		patching sync.Mutex
+		// patching is held by the one patch that is being written.
+		patching chan struct{}
 	}
 )
 
 // New returns a follower without a configuration; changed is called, in order,
 // with each version that comes into force.
 func New(store fpplatform.Store, changed func(fpconfig.Replica)) *Follower {
-	return &Follower{store: store, changed: changed, moved: make(chan struct{})}
+	return &Follower{
+		store:    store,
+		changed:  changed,
+		moved:    make(chan struct{}),
+		patching: make(chan struct{}, 1),
+	}
 }
 
 // Replica returns the copy in force, and whether any source has answered yet.
@@ -70,7 +76,7 @@
 }
 
 // Offer takes in patches and, where they leave a gap, a snapshot from another host.
-func (f *Follower) Offer(patches []fpconfig.Patch, snapshot *fpconfig.Versioned) {
+func (f *Follower) Offer(patches []fpconfig.Patch, snapshot *fpconfig.Snapshot) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if snapshot != nil {
@@ -87,7 +93,7 @@
 	if v == fpconfig.Conflicting {
 		f.note = "a different patch was offered under a version in force"
 	}
-	if v != fpconfig.Applied {
+	if v != fpconfig.Advanced {
 		return
 	}
 	f.replica = r
@@ -126,7 +132,7 @@
 	if v.Revision == 0 {
 		return nil
 	}
-	var s fpconfig.Versioned
+	var s fpconfig.Snapshot
 	if err := json.Unmarshal(v.Data, &s); err != nil {
 		return errors.Wrap(err, "snapshot")
 	}
--- a/internal/fpfollower/patch.go
+++ b/internal/fpfollower/patch.go
@@ -15,8 +15,12 @@
 // ErrUnknown means that the patch may have been accepted. A patch whose ID is
 // among the latest ones is one patch, however often it is sent.
 func (f *Follower) Patch(ctx context.Context, p fpconfig.Patch) (uint64, error) {
-	f.patching.Lock()
-	defer f.patching.Unlock()
+	select {
+	case f.patching <- struct{}{}:
+	case <-ctx.Done():
+		return 0, errors.Mark(ctx.Err(), ErrUnavailable)
+	}
+	defer func() { <-f.patching }()
 	if err := f.Load(ctx); err != nil {
 		return 0, errors.Mark(err, ErrUnavailable)
 	}
@@ -34,7 +38,7 @@
 	if behind {
 		return 0, ErrStoreBehind
 	}
-	if err := f.ensureSnapshot(ctx, r.Current(), snapshotSlack); err != nil {
+	if err := f.ensureSnapshot(ctx, r.Snapshot(), snapshotSlack); err != nil {
 		return 0, err
 	}
 	if err := f.append(ctx, p); err != nil {
@@ -42,7 +46,7 @@
 	}
 	f.Offer([]fpconfig.Patch{p}, nil)
 	r, _ = f.Replica()
-	_ = f.ensureSnapshot(ctx, r.Current(), fpconfig.SnapshotEvery)
+	_ = f.ensureSnapshot(ctx, r.Snapshot(), fpconfig.SnapshotEvery)
 	return p.Version(), nil
 }
 
@@ -52,20 +56,16 @@
 	if err != nil {
 		panic(errors.Wrap(err, "fpfollower: patch cannot be encoded"))
 	}
-	_, revision, err := f.slot(ctx, p.Version())
-	if err != nil {
-		return err
-	}
 	ctx, cancel := context.WithTimeout(ctx, settleFor)
 	defer cancel()
 	for tried := false; ; tried = true {
-		held, now, err := f.slot(ctx, p.Version())
+		held, revision, err := f.slot(ctx, p.Version())
 		switch {
 		case err != nil && !tried:
 			return err
 		case err == nil && held.ID == p.ID:
 			return nil
-		case err == nil && now != revision:
+		case err == nil && held.ID != "" && held.Version() >= p.Version():
 			return errors.Wrapf(fpconfig.ErrStale, "another patch led to version %d", held.Version())
 		case err == nil:
 			_, err = f.store.CompareAndSwap(ctx, fpconfig.SlotKey(p.Version()), revision, data, 0)
@@ -83,7 +83,7 @@
 }
 
 // ensureSnapshot writes a snapshot when the last one is more than slack versions old.
-func (f *Follower) ensureSnapshot(ctx context.Context, v fpconfig.Versioned, slack uint64) error {
+func (f *Follower) ensureSnapshot(ctx context.Context, v fpconfig.Snapshot, slack uint64) error {
 	f.mu.Lock()
 	last := f.snapshot
 	f.mu.Unlock()
@@ -94,7 +94,7 @@
 	if err != nil {
 		return errors.Mark(err, ErrUnavailable)
 	}
-	var kept fpconfig.Versioned
+	var kept fpconfig.Snapshot
 	if old.Revision != 0 {
 		if err := json.Unmarshal(old.Data, &kept); err != nil {
 			return errors.Wrap(err, "snapshot")
--- a/internal/fppeer/client.go
+++ b/internal/fppeer/client.go
@@ -40,7 +40,7 @@
 	Patches struct {
 		Version  uint64
 		Patches  []fpconfig.Patch
-		Snapshot *fpconfig.Versioned
+		Snapshot *fpconfig.Snapshot
 	}
 )
 
@@ -83,7 +83,7 @@
 		out.Patches = append(out.Patches, p)
 	}
 	if data := res.Msg.GetSnapshot(); len(data) > 0 {
-		out.Snapshot = new(fpconfig.Versioned)
+		out.Snapshot = new(fpconfig.Snapshot)
 		if err := json.Unmarshal(data, out.Snapshot); err != nil {
 			return Patches{}, errors.Wrap(err, "snapshot")
 		}
--- a/internal/fppeer/server.go
+++ b/internal/fppeer/server.go
@@ -65,7 +65,7 @@
 	res := &fppeerv1.PatchesResponse{Version: replica.Current().Version}
 	patches, kept := replica.Since(r.Msg.GetSince())
 	if !kept {
-		res.Snapshot = encode(replica.Current())
+		res.Snapshot = encode(replica.Snapshot())
 		return connect.NewResponse(res), nil
 	}
 	for _, p := range patches {
--- a/pkg/fpconfig/replica.go
+++ b/pkg/fpconfig/replica.go
@@ -3,8 +3,8 @@
 import "slices"
 
 const (
-	// Applied means that the patch or snapshot is now in force.
-	Applied Verdict = iota + 1
+	// Advanced means that the patch or snapshot is now in force.
+	Advanced Verdict = iota + 1
 	// Known means that a version at least as high is in force already.
 	Known
 	// Gap means that versions in between are missing.
@@ -21,6 +21,20 @@
 	Replica struct {
 		current Versioned
 		recent  []Patch
+		applied []Applied
+	}
+
+	// Applied names a patch and the version that it led to.
+	Applied struct {
+		ID      string
+		Version uint64
+	}
+
+	// Snapshot is a version with the names of the patches before it, by which a
+	// repeat is recognised.
+	Snapshot struct {
+		Versioned
+		Applied []Applied `json:",omitempty"`
 	}
 )
 
@@ -30,8 +44,18 @@
 // Recent returns the latest patches, oldest first.
 func (r Replica) Recent() []Patch { return slices.Clone(r.recent) }
 
+// Snapshot returns what another host needs to start from this version.
+func (r Replica) Snapshot() Snapshot {
+	s := Snapshot{Versioned: r.current, Applied: slices.Clone(r.applied)}
+	for _, p := range r.recent {
+		s.Applied = append(s.Applied, Applied{ID: p.ID, Version: p.Version()})
+	}
+	s.Applied = s.Applied[max(len(s.Applied)-Slots, 0):]
+	return s
+}
+
 // WithSnapshot returns the replica after a snapshot was offered; a lower version is never followed.
-func (r Replica) WithSnapshot(v Versioned) (Replica, Verdict) {
+func (r Replica) WithSnapshot(v Snapshot) (Replica, Verdict) {
 	switch {
 	case v.Version < r.current.Version:
 		return r, Known
@@ -40,7 +64,7 @@
 	case v.Version == r.current.Version:
 		return r, Known
 	}
-	return Replica{current: v}, Applied
+	return Replica{current: v.Versioned, applied: v.Applied}, Advanced
 }
 
 // WithPatch returns the replica after a patch was offered.
@@ -59,7 +83,7 @@
 	if len(recent) > Slots {
 		recent = recent[len(recent)-Slots:]
 	}
-	return Replica{current: next, recent: recent}, Applied
+	return Replica{current: next, recent: recent, applied: r.applied}, Advanced
 }
 
 // Patch returns the kept patch that led to version, and whether it is kept.
@@ -92,5 +116,10 @@
 			return p.Version(), true
 		}
 	}
+	for _, a := range r.applied {
+		if a.ID == id {
+			return a.Version, true
+		}
+	}
 	return 0, false
 }
