--- a/pkg/fpmember/table.go
+++ b/pkg/fpmember/table.go
@@ -13,6 +13,8 @@
 	SuspectAfter = 1200 * time.Millisecond
 	// suspicionLasts is how long another observer's suspicion counts.
 	suspicionLasts = 3 * time.Second
+	// deadAfter is the silence after which one observer alone ranks a host out.
+	deadAfter = 5 * time.Second
 	// observersNeeded is the number of observers that rank a host out.
 	observersNeeded = 2
 	// probeEvery is the time between heartbeats to a host that is ranked out.
@@ -156,7 +158,7 @@
 	observers := len(e.missedBy)
 	switch {
 	case e.State == Unheard || observers == 0:
-	case observers >= min(observersNeeded, t.observers(e)):
+	case observers >= min(observersNeeded, t.observers(e)), !e.direct.IsZero() && now.Sub(e.direct) > deadAfter:
 		e.State = Dead
 	default:
 		if e.State == Alive {
@@ -165,11 +167,12 @@
 	}
 }
 
-// observers returns the number of hosts that could miss the entry: those alive in its zone and this one.
+// observers returns the number of hosts that could miss the entry: those of its
+// zone that are not ranked out, and this one.
 func (t *Table) observers(e *entry) int {
 	n := 1
 	for _, o := range t.members {
-		if o != e && o.Zone == e.Zone && o.State == Alive {
+		if o != e && o.Zone == e.Zone && (o.State == Alive || o.State == Suspected) {
 			n++
 		}
 	}
@@ -206,6 +209,9 @@
 func (t *Table) Contacts() []Member {
 	zones := t.byZone()
 	own := zones[t.self.Zone]
+	if len(own) == 1 {
+		own = t.wholeZone()
+	}
 	out := ring(own, t.self.Name)
 	names := make([]string, 0, len(zones))
 	for z := range zones {
@@ -222,6 +228,19 @@
 	return out
 }
 
+// wholeZone returns all hosts of the zone, also those ranked out: a host that
+// hears nobody may itself be the one that is cut off.
+func (t *Table) wholeZone() []Member {
+	all := []Member{t.self}
+	for _, e := range t.members {
+		if e.Zone == t.self.Zone {
+			all = append(all, e.Member)
+		}
+	}
+	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
 // keeps reports whether this host keeps in touch with a zone: two hosts of
 // each zone do.
 func (t *Table) keeps(own []Member, zone string) bool {
