--- a/internal/fpstandin/engine.go
+++ b/internal/fpstandin/engine.go
@@ -113,6 +113,13 @@
 	e.attempts = make(map[string]*attempt)
 }
 
+// Hold keeps the engine from starting any prompt for a while.
+func (e *Engine) Hold(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.model.Block(time.Now().Add(d))
+}
+
 // Run moves the engine's model along with the clock until the context ends.
 func (e *Engine) Run(ctx context.Context) error {
 	t := time.NewTimer(time.Hour)
