--- a/internal/fpexperiment/router.go
+++ b/internal/fpexperiment/router.go
@@ -66,6 +66,7 @@
 		for _, e := range p.world.engines {
 			v.Replicas = append(v.Replicas, fproute.Replica{
 				Name:        e.name,
+				Hash:        fproute.HashName(e.name),
 				Incarnation: e.incarnation,
 				Zone:        sh.Zones[e.zone],
 				Model:       sh.Name,
--- a/internal/fphost/control.go
+++ b/internal/fphost/control.go
@@ -236,6 +236,7 @@
 		Queued:        queued(u.Report),
 		ReportedAt:    c.upstreams[d.Name].at,
 		RunningOutput: u.Report.Running,
+		Hash:          fproute.HashName(d.Name),
 	}
 }
 
--- a/pkg/fplimit/share.go
+++ b/pkg/fplimit/share.go
@@ -6,7 +6,7 @@
 
 const (
 	// floorShare is the part of a limit that is spread evenly, whatever the demand.
-	floorShare = 0.1
+	floorShare = 0.02
 	// headroom is what a host may get beyond its present demand when the limit is not used up.
 	headroom = 1.2
 	// reserveFor is how long the share of a host that fell silent stays reserved.
@@ -62,19 +62,17 @@
 	return Rates{Requests: limit.Requests / n, Tokens: limit.Tokens / n}
 }
 
-// shareOf splits a limit: a floor for everybody, the rest by demand, and never
-// more than is not held by others.
+// shareOf splits a limit. While it is not used up, each host gets its demand
+// with headroom and an even part of what is left; otherwise a floor and the
+// rest by demand. A host never gets what others hold.
 func shareOf(demand, total, held, limit float64, hosts int) float64 {
 	if limit <= 0 {
 		return 0
 	}
 	n := float64(max(hosts, 1))
-	fair := limit / n
-	if total > 0 {
-		fair = limit*floorShare/n + limit*(1-floorShare)*demand/total
-	}
-	if total*headroom < limit {
-		fair = max(demand*headroom, limit*floorShare/n)
+	fair := limit*floorShare/n + limit*(1-floorShare)*demand/max(total, 1)
+	if spare := limit - total*headroom; spare > 0 {
+		fair = demand*headroom + spare/n
 	}
 	return max(min(fair, limit-held), 0)
 }
--- a/pkg/fproute/circuit.go
+++ b/pkg/fproute/circuit.go
@@ -53,8 +53,6 @@
 	c.openTill = now.Add(c.openFor)
 }
 
-func (c *circuit) succeeded() { *c = circuit{} }
-
 // Request counts a first attempt, which earns a share of a retry.
 func (b *RetryBudget) Request() { b.spent = max(b.spent-retryRatio, 0) }
 
--- a/pkg/fproute/plan.go
+++ b/pkg/fproute/plan.go
@@ -11,6 +11,8 @@
 const (
 	// maxHomeLevels bounds the levels that choose home replicas.
 	maxHomeLevels = 4
+	// maxNear bounds the replicas that are scored for one request, holders aside.
+	maxNear = 32
 )
 
 // Place returns the ranked plan for a request, ErrNoReplica, or ErrOverload
@@ -44,7 +46,7 @@
 		switch {
 		case p.Model != q.Model || p.Leaving || p.Down || slices.Contains(q.Avoid, p.Name):
 		case q.Weights != "" && p.Weights != q.Weights:
-		case !r.circuit(p.Name).allows(now):
+		case !r.allows(p.Name, now):
 		case p.Zone == v.Zone:
 			local = append(local, i)
 		default:
@@ -60,9 +62,13 @@
 		return
 	}
 	hits := make([]float64, len(v.Replicas))
-	home := r.home(d, v, q, members, hits, now)
-	r.known(v, q, hits, now)
-	for _, i := range members {
+	near, home := r.home(d, v, q, members, hits, now)
+	for _, i := range r.known(v, q, hits, now) {
+		if !slices.Contains(near, i) && slices.Contains(members, i) {
+			near = append(near, i)
+		}
+	}
+	for _, i := range near {
 		c := r.score(v, q, i, hits[i], now)
 		c.Home = slices.Contains(home, i)
 		d.Ranked = insert(d.Ranked, c)
@@ -70,21 +76,27 @@
 }
 
 // home narrows the members level by level and credits each narrower circle
-// with the level's tokens; the innermost circle is returned.
-func (r *Router) home(d *Decision, v *View, q Request, members []int, hits []float64, now time.Time) []int {
-	circle := slices.Clone(members)
-	hashes := make([]uint64, len(v.Replicas))
-	for _, i := range members {
-		hashes[i] = r.hash(v.Replicas[i].Name)
-	}
-	for _, l := range homeLevels(q.Prompt.Levels) {
+// with the level's tokens. It returns the circle in which a replica is looked
+// for at all, and the innermost one.
+func (r *Router) home(d *Decision, v *View, q Request, members []int, hits []float64, now time.Time) (near, innermost []int) {
+	levels := homeLevels(q.Prompt.Levels)
+	scratch := make([]uint64, len(members))
+	near = slices.Clone(members)
+	if len(levels) > 0 {
+		first := levels[0].Key
+		near = homes(first, v.Replicas, near, scratch, max(maxNear, r.width(v, first, now)))
+	} else {
+		near = homes(fpprefix.Key(HashName(q.ID)), v.Replicas, near, scratch, maxNear)
+	}
+	innermost = slices.Clone(near)
+	for _, l := range levels {
 		d.Width = r.width(v, l.Key, now)
-		circle = homes(l.Key, hashes, circle, d.Width)
-		for _, i := range circle {
+		innermost = homes(l.Key, v.Replicas, innermost, scratch, d.Width)
+		for _, i := range innermost {
 			hits[i] = r.settings.HomePrior * float64(l.Tokens)
 		}
 	}
-	return circle
+	return near, innermost
 }
 
 // width returns the number of replicas that the prefix's demand in the zone needs.
@@ -93,8 +105,9 @@
 	return 1 + int(zone/r.settings.TargetUtilization)
 }
 
-// known replaces the prior by evidence where there is any.
-func (r *Router) known(v *View, q Request, hits []float64, now time.Time) {
+// known replaces the prior by evidence where there is any, and returns the replicas it is about.
+func (r *Router) known(v *View, q Request, hits []float64, now time.Time) []int {
+	var about []int
 	for _, l := range q.Prompt.Levels {
 		for _, h := range r.knowledge.holders(l.Key) {
 			i := v.index(h.replica)
@@ -103,8 +116,12 @@
 			}
 			sure := r.knowledge.confidence(h.replica, now.Sub(h.at))
 			hits[i] = max(hits[i], sure*float64(l.Tokens))
+			if !slices.Contains(about, i) {
+				about = append(about, i)
+			}
 		}
 	}
+	return about
 }
 
 func (r *Router) score(v *View, q Request, i int, hit float64, now time.Time) Candidate {
--- a/pkg/fproute/rendezvous.go
+++ b/pkg/fproute/rendezvous.go
@@ -33,20 +33,58 @@
 	return best
 }
 
-// homes narrows members, indices into hashes, to the width best for key.
-func homes(key fpprefix.Key, hashes []uint64, members []int, width int) []int {
+// hash returns the replica's hash for rendezvous.
+func (r *Replica) hash() uint64 {
+	if r.Hash != 0 {
+		return r.Hash
+	}
+	return HashName(r.Name)
+}
+
+// homes narrows members, indices into replicas, to the width best for key; the
+// order among them is not defined. Members is reordered; scratch is as long.
+func homes(key fpprefix.Key, replicas []Replica, members []int, scratch []uint64, width int) []int {
 	if width >= len(members) {
 		return members
 	}
-	for i := range width {
-		best := i
-		top := mix(uint64(key), hashes[members[i]])
-		for j := i + 1; j < len(members); j++ {
-			if h := mix(uint64(key), hashes[members[j]]); h > top {
-				best, top = j, h
+	scratch = scratch[:len(members)]
+	for i, m := range members {
+		scratch[i] = mix(uint64(key), replicas[m].hash())
+	}
+	selectTop(scratch, members, width)
+	return members[:width]
+}
+
+// selectTop moves the n members with the highest values to the front (quickselect).
+func selectTop(values []uint64, members []int, n int) {
+	swap := func(i, j int) {
+		values[i], values[j] = values[j], values[i]
+		members[i], members[j] = members[j], members[i]
+	}
+	low, high := 0, len(values)-1
+	for low < high {
+		pivot := values[(low+high)/2]
+		i, j := low, high
+		for i <= j {
+			for values[i] > pivot {
+				i++
+			}
+			for values[j] < pivot {
+				j--
 			}
+			if i <= j {
+				swap(i, j)
+				i++
+				j--
+			}
+		}
+		switch {
+		case n-1 <= j:
+			high = j
+		case n-1 >= i:
+			low = i
+		default:
+			return
 		}
-		members[i], members[best] = members[best], members[i]
 	}
-	return members[:width]
 }
--- a/pkg/fproute/router.go
+++ b/pkg/fproute/router.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/fescuepoint/fescuepoint/pkg/fpprefix"
 )
 
@@ -17,7 +15,6 @@
 		demand    *demand
 		load      *loadBook
 		circuits  map[string]*circuit
-		hashes    map[string]uint64
 		budget    RetryBudget
 		pending   map[string]pending
 	}
@@ -39,7 +36,6 @@
 		demand:    newDemand(s.KnowledgeKeys),
 		load:      newLoadBook(),
 		circuits:  make(map[string]*circuit),
-		hashes:    make(map[string]uint64),
 		pending:   make(map[string]pending),
 	}
 }
@@ -53,7 +49,9 @@
 // Dispatched records that the request was sent to the candidate.
 func (r *Router) Dispatched(q Request, c Candidate, now time.Time) {
 	r.load.sent(c.Replica, q, c.MissTokens, now)
-	r.circuit(c.Replica).dispatched()
+	if k := r.circuits[c.Replica]; k != nil {
+		k.dispatched()
+	}
 	r.pending[q.ID] = pending{replica: c.Replica, seen: r.knowledge.Seen(q.Prompt, c.Replica, c.Incarnation), at: now}
 	for _, l := range q.Prompt.Levels {
 		r.knowledge.Stored(l.Key, c.Replica, c.Incarnation, now)
@@ -63,7 +61,7 @@
 // FirstToken records that the candidate began to answer and how many prompt tokens it had cached.
 func (r *Router) FirstToken(q Request, c Candidate, cached int, now time.Time) {
 	r.load.begin(c.Replica, q.ID)
-	r.circuit(c.Replica).succeeded()
+	delete(r.circuits, c.Replica)
 	p := r.pending[q.ID]
 	delete(r.pending, q.ID)
 	if p.replica != c.Replica {
@@ -95,13 +93,13 @@
 	return c
 }
 
-func (r *Router) hash(replica string) uint64 {
-	h, ok := r.hashes[replica]
-	if !ok {
-		h = xxhash.Sum64String(replica)
-		r.hashes[replica] = h
+// allows reports whether the replica's circuit lets work through.
+func (r *Router) allows(replica string, now time.Time) bool {
+	if len(r.circuits) == 0 {
+		return true
 	}
-	return h
+	c := r.circuits[replica]
+	return c == nil || c.allows(now)
 }
 
 // want records the request's demand on each level and returns nothing; the
--- a/pkg/fproute/types.go
+++ b/pkg/fproute/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuepoint/fescuepoint/pkg/fpprefix"
@@ -55,6 +56,8 @@
 		Queued        [Classes]float64
 		ReportedAt    time.Time
 		RunningOutput int
+		// Hash is HashName of the name; it is computed at each use when zero.
+		Hash uint64
 	}
 
 	// View is an immutable picture of the replicas that a host may use; Replicas are sorted by name.
@@ -118,6 +121,9 @@
 	}
 )
 
+// HashName returns the hash by which a replica takes part in rendezvous.
+func HashName(name string) uint64 { return xxhash.Sum64String(name) }
+
 // ParseClass returns the class of that name; the empty name is Standard.
 func ParseClass(name string) (Class, error) {
 	switch name {
