--- a/pkg/fpmember/table.go
+++ b/pkg/fpmember/table.go
@@ -19,6 +19,8 @@
 	observersNeeded = 2
 	// probeEvery is the time between heartbeats to a host that is ranked out.
 	probeEvery = time.Second
+	// smallFleet is the size up to which every host is a contact of every other.
+	smallFleet = 16
 )
 
 const (
@@ -203,10 +205,14 @@
 	return out
 }
 
-// Contacts returns the hosts that get every heartbeat: those at distances 1,
+// Contacts returns the hosts that get every heartbeat: all of a small fleet,
+// and in a large one those at distances 1,
 // 2, 4 and so on in the zone's ring, and one host of each other zone that this
 // host is to keep in touch with.
 func (t *Table) Contacts() []Member {
+	if len(t.members) < smallFleet {
+		return t.reachable()
+	}
 	zones := t.byZone()
 	own := zones[t.self.Zone]
 	if len(own) == 1 {
@@ -228,6 +234,16 @@
 	return out
 }
 
+// reachable returns all hosts that are not ranked out, or all when none is left.
+func (t *Table) reachable() []Member {
+	all := t.Members()
+	living := slices.DeleteFunc(slices.Clone(all), func(m Member) bool { return m.State == Dead })
+	if len(living) == 0 {
+		return all
+	}
+	return living
+}
+
 // wholeZone returns all hosts of the zone, also those ranked out: a host that
 // hears nobody may itself be the one that is cut off.
 func (t *Table) wholeZone() []Member {
