--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build run test generate
+.PHONY: build run test report bench generate
 
 build:
 	go build -o bin/ ./cmd/...
@@ -8,3 +8,13 @@
 
 test:
 	bash scripts/test.sh
+
+report: build
+	bin/fescuestandin report --folder docs/report > docs/report/placement.md
+
+bench:
+	go test -run NONE -bench . -benchmem ./pkg/... ./internal/fpgossip
+
+generate:
+	protoc --go_out=. --go_opt=module=github.com/fescuepoint/fescuepoint \
+		--connect-go_out=. --connect-go_opt=module=github.com/fescuepoint/fescuepoint internal/fppeer/fppeerv1/peer.proto
--- /dev/null
+++ b/cmd/fescuestandin/drive.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpload"
+	"github.com/fescuepoint/fescuepoint/internal/fpreport"
+	"github.com/fescuepoint/fescuepoint/internal/fpworkload"
+)
+
+type (
+	loadCommand struct {
+		Workload string        `arg:"" help:"tinggi-selamat or roostwell."`
+		Callers  []string      `help:"Callers' addresses of the entry hosts." default:"http://127.0.0.1:8080"`
+		TeamKeys []string      `help:"Keys of the teams, the largest first." required:""`
+		Model    string        `help:"Model." default:"tutor"`
+		Duration time.Duration `help:"Time that is measured." default:"30s"`
+		Warm     time.Duration `help:"Time before it." default:"10s"`
+		Rate     float64       `help:"Requests a second; 0 takes the workload's."`
+		Seed     uint64        `help:"Seed of the requests." default:"1"`
+		Output   string        `help:"Form of the report." enum:"text,json" default:"text"`
+	}
+
+	reportCommand struct {
+		Folder string   `help:"Folder for the plots." default:"report"`
+		Seeds  []uint64 `help:"Seeds." default:"1,2"`
+	}
+)
+
+// Run drives the workload and prints what its callers saw.
+func (c *loadCommand) Run(ctx context.Context) error {
+	shape, err := fpworkload.Named(c.Workload)
+	if err != nil {
+		return err
+	}
+	r := fpload.Run(ctx, fpload.Settings{
+		Shape:    shape,
+		Seed:     c.Seed,
+		Callers:  c.Callers,
+		TeamKeys: c.TeamKeys,
+		Model:    c.Model,
+		Duration: c.Duration,
+		Warm:     c.Warm,
+		Rate:     c.Rate,
+	})
+	if c.Output == "json" {
+		return json.NewEncoder(os.Stdout).Encode(r)
+	}
+	fmt.Print(r)
+	return nil
+}
+
+// Run plays the placement experiment in virtual time.
+func (c *reportCommand) Run() error {
+	if err := os.MkdirAll(c.Folder, 0o755); err != nil {
+		return err
+	}
+	return fpreport.Write(os.Stdout, c.Folder, c.Seeds)
+}
--- a/cmd/fescuestandin/main.go
+++ b/cmd/fescuestandin/main.go
@@ -26,6 +26,8 @@
 		Service     serviceCommand     `cmd:"" help:"A plain service."`
 		WeightStore weightStoreCommand `cmd:"" help:"The weight store."`
 		CacheStore  cacheStoreCommand  `cmd:"" help:"The store of exported cache blocks."`
+		Load        loadCommand        `cmd:"" help:"Drive a workload against entry hosts and report what callers saw."`
+		Report      reportCommand      `cmd:"" help:"Play the placement experiment in virtual time; print tables and draw plots."`
 	}
 
 	address struct {
--- /dev/null
+++ b/internal/fpreport/doc.go
@@ -0,0 +1,3 @@
+// Package fpreport prints the tables and draws the plots of the placement
+// experiment.
+package fpreport
--- /dev/null
+++ b/internal/fpreport/report.go
@@ -0,0 +1,115 @@
+package fpreport
+
+import (
+	"fmt"
+	"image/color"
+	"io"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpexperiment"
+	"github.com/fescuepoint/fescuepoint/internal/fpworkload"
+	"github.com/fescuepoint/fescuepoint/pkg/fproute"
+)
+
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+	barWidth   = 14 * vg.Millimeter
+	// sampleSeconds is the length of the intervals of Row.HitOverTime.
+	sampleSeconds = 5
+)
+
+// Write prints the comparison and the sources of knowledge as Markdown and
+// draws the plots into a folder, for the given seeds.
+func Write(w io.Writer, folder string, seeds []uint64) error {
+	for _, name := range []string{fpworkload.TinggiSelamat, fpworkload.Roostwell} {
+		shape, err := fpworkload.Named(name)
+		if err != nil {
+			return err
+		}
+		for _, f := range fpexperiment.Faults() {
+			rows := measure(shape, f, fpexperiment.Policies(), seeds)
+			table(w, fmt.Sprintf("%s, %s", name, f), rows)
+			if err := draw(folder, name, f, rows); err != nil {
+				return err
+			}
+		}
+		table(w, name+", sources of knowledge", measure(shape, fpexperiment.NoFault, fpexperiment.Learnings(), seeds))
+	}
+	return nil
+}
+
+func measure(shape fpworkload.Shape, f fpexperiment.Fault, policies []fpexperiment.Named, seeds []uint64) []fpexperiment.Row {
+	var rows []fpexperiment.Row
+	for _, p := range policies {
+		rows = append(rows, fpexperiment.Measure(shape, f, p, seeds))
+	}
+	return rows
+}
+
+func table(w io.Writer, title string, rows []fpexperiment.Row) {
+	_, _ = fmt.Fprintf(w, "### %s\n\n| policy | hit rate | recomputed tokens | first token p99 interactive, standard, bulk (ms) | refused | between regions | messages |\n| --- | --- | --- | --- | --- | --- | --- |\n", title)
+	for _, r := range rows {
+		_, _ = fmt.Fprintf(w, "| %s | %.3f | %d | %d, %d, %d | %d | %.2f %% | %d |\n", r.Policy, r.HitRate, r.Recomputed,
+			r.FirstToken[fproute.Interactive].Milliseconds(), r.FirstToken[fproute.Standard].Milliseconds(),
+			r.FirstToken[fproute.Bulk].Milliseconds(), r.Refused, 100*r.RemoteShare, r.Digests)
+	}
+	_, _ = fmt.Fprintln(w)
+}
+
+// draw draws the hit rates, and for all faults the hit rate over time.
+func draw(folder, name string, f fpexperiment.Fault, rows []fpexperiment.Row) error {
+	lines := plot.New()
+	lines.Title.Text = fmt.Sprintf("%s, %s: prefix hit rate over time", name, f)
+	lines.X.Label.Text = "seconds"
+	lines.Y.Label.Text = "hit rate"
+	for i, r := range rows {
+		points := make(plotter.XYs, len(r.HitOverTime))
+		for j, h := range r.HitOverTime {
+			points[j] = plotter.XY{X: float64((j + 1) * sampleSeconds), Y: h}
+		}
+		l, err := plotter.NewLine(points)
+		if err != nil {
+			return errors.Wrap(err, "line")
+		}
+		l.Color = shade(i)
+		lines.Add(l)
+		lines.Legend.Add(r.Policy, l)
+	}
+	if err := lines.Save(plotWidth, plotHeight, filepath.Join(folder, fmt.Sprintf("%s-%s-hit.svg", name, f))); err != nil {
+		return errors.Wrap(err, "plot")
+	}
+	if f != fpexperiment.NoFault {
+		return nil
+	}
+	return drawBars(folder, name, rows)
+}
+
+func drawBars(folder, name string, rows []fpexperiment.Row) error {
+	bars := plot.New()
+	bars.Title.Text = name + ": tokens recomputed"
+	values := make(plotter.Values, len(rows))
+	labels := make([]string, len(rows))
+	for i, r := range rows {
+		values[i] = float64(r.Recomputed)
+		labels[i] = r.Policy
+	}
+	b, err := plotter.NewBarChart(values, barWidth)
+	if err != nil {
+		return errors.Wrap(err, "bars")
+	}
+	b.Color = shade(3)
+	bars.Add(b)
+	bars.NominalX(labels...)
+	return errors.Wrap(bars.Save(plotWidth, plotHeight, filepath.Join(folder, name+"-recomputed.svg")), "plot")
+}
+
+func shade(i int) color.Color {
+	shades := []color.RGBA{{R: 150, G: 150, B: 150, A: 255}, {R: 200, G: 120, B: 40, A: 255}, {R: 120, G: 80, B: 160, A: 255}, {R: 30, G: 110, B: 180, A: 255}, {R: 30, G: 140, B: 70, A: 255}}
+	return shades[i%len(shades)]
+}
