Claims of a large fleet share writes; hosts that start together spread their reads

From 17 hosts on, a claim goes to the host that writes its shard (rendezvous, no agreement; a wrong guess costs a lost swap) and lingers there. Small fleets go to the platform directly as before.

Hosts without a configuration wait up to 12 ms for each other host known before they ask the platform; a herd of 880 is spread over 10.6 s at worst. That the sum stays under 2,000 reads a second is derived, not measured.

--- a/internal/fpclaimant/broker.go
+++ b/internal/fpclaimant/broker.go
@@ -2,15 +2,21 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/fescuepoint/fescuepoint/pkg/fpclaim"
 	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
+	"github.com/fescuepoint/fescuepoint/pkg/fproute"
 )
 
 const (
 	// directWait is how long a claim is tried at the platform by this host itself.
 	directWait = 1500 * time.Millisecond
+	// writersAbove is the number of other hosts from which on shards are written by one host each.
+	writersAbove = 16
+	// writerWait is how long a shard's writer is given before the platform is asked directly.
+	writerWait = 700 * time.Millisecond
 	// relayWait is how long another host is given to settle a claim.
 	relayWait = time.Second
 	// maxRelays bounds the hosts asked to relay one claim.
@@ -66,8 +72,15 @@
 }
 
 // Claim settles a claim at the platform, or through hosts of other zones when
-// this host cannot reach it.
+// this host cannot reach it. In a large fleet the host that writes the claim's
+// shard is asked first, so that the claims of many hosts share a write; two
+// hosts that take each other for it only cost a lost swap.
 func (b *Broker) Claim(ctx context.Context, c fpclaim.Claim) Settled {
+	if w, ok := b.writer(c.Key); ok {
+		if s, err := b.peers.Claim(ctx, w.Address, c, writerWait); err == nil && s.Verdict != fpclaim.Unavailable {
+			return s
+		}
+	}
 	s := b.claimant.Settle(ctx, c, directWait)
 	if s.Verdict != fpclaim.Unavailable {
 		return s
@@ -82,6 +95,29 @@
 	return s
 }
 
+// writer returns the other host that writes the shard of a key, in a fleet
+// large enough for that to save writes.
+func (b *Broker) writer(key fpclaim.Key) (Member, bool) {
+	var living []Member
+	for _, m := range b.members() {
+		if !m.Dead && m.Address != "" {
+			living = append(living, m)
+		}
+	}
+	if len(living) < writersAbove {
+		return Member{}, false
+	}
+	names := []string{b.self.Name}
+	for _, m := range living {
+		names = append(names, m.Name)
+	}
+	i := fproute.Owner("claim/"+strconv.Itoa(key.Shard(b.claimant.Shards())), names)
+	if i == 0 {
+		return Member{}, false
+	}
+	return living[i-1], true
+}
+
 // relays returns a few living hosts, those of other zones first.
 func (b *Broker) relays() []Member {
 	var other, same []Member
--- a/internal/fpclaimant/claimant.go
+++ b/internal/fpclaimant/claimant.go
@@ -96,6 +96,9 @@
 	return nil
 }
 
+// Shards returns the number of shards.
+func (c *Claimant) Shards() int { return len(c.shards) }
+
 // Settle asks the platform for a claim, or gives one up when Released is set;
 // the verdict is Unavailable when that could not be settled within wait.
 func (c *Claimant) Settle(ctx context.Context, claim fpclaim.Claim, wait time.Duration) Settled {
--- a/internal/fpfollower/follower.go
+++ b/internal/fpfollower/follower.go
@@ -17,6 +17,8 @@
 	watchFor = 20 * time.Second
 	// retryEvery is the pace of calls to a platform that does not answer.
 	retryEvery = time.Second
+	// dutyEvery is the pace of asking whether this host is to follow.
+	dutyEvery = 100 * time.Millisecond
 	// settleFor bounds the time in which a lost answer is settled.
 	settleFor = 6 * time.Second
 	// settleEvery is the pace at which a lost answer is settled.
@@ -198,7 +200,7 @@
 func (f *Follower) Follow(ctx context.Context, duty func() bool) error {
 	for ctx.Err() == nil {
 		if !duty() {
-			pause(ctx, retryEvery)
+			pause(ctx, dutyEvery)
 			continue
 		}
 		if err := f.followOnce(ctx); err != nil {
--- a/internal/fphost/gossip.go
+++ b/internal/fphost/gossip.go
@@ -15,6 +15,9 @@
 	hostListEvery = 2 * time.Second
 	shareEvery    = 500 * time.Millisecond
 	joinEvery     = 200 * time.Millisecond
+	// startSpread is the time, for each other host known, over which hosts that
+	// start together ask the platform for the configuration.
+	startSpread = 12 * time.Millisecond
 	// followersPerZone is the number of hosts of a zone that watch the platform.
 	followersPerZone = 2
 	// placementsEvery is the pace at which the zone's hosts tell each other what they placed.
@@ -166,10 +169,11 @@
 }
 
 // follows reports whether this host is to watch the platform: while it has no
-// configuration, or as one of the first of its zone.
+// configuration, or as one of the first of its zone. Hosts that start together
+// ask the platform one after the other; most hear from another host first.
 func (h *Host) follows() bool {
 	if _, loaded := h.follower.Replica(); !loaded {
-		return true
+		return time.Since(time.Unix(0, int64(h.incarnation))) >= h.jitter
 	}
 	answer := make(chan bool, 1)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/internal/fphost/host.go
+++ b/internal/fphost/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"strconv"
@@ -145,6 +146,7 @@
 		state:      &h.state,
 		restarted:  h.dispatcher.Restarted,
 	}
+	h.jitter = time.Duration(rand.Float64() * float64(len(s.Peers.Contacts)) * float64(startSpread))
 	for _, text := range s.Peers.Contacts {
 		parts := strings.Split(text, "@")
 		if len(parts) != 3 {
