--- a/internal/fphost/host.go
+++ b/internal/fphost/host.go
@@ -61,6 +61,7 @@
 		secret     []byte
 		serial     atomic.Uint64
 		pulling    atomic.Bool
+		jitter     time.Duration
 		mu         sync.Mutex
 		shares     map[string]fplimit.Rates
 		fleet      int
