--- a/internal/fphost/host_test.go
+++ b/internal/fphost/host_test.go
@@ -53,7 +53,7 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -63,7 +63,7 @@
 	return l.Addr().String()
 }
 
-func settings(t *testing.T, platform string) fpsetting.Settings {
+func settings(t testing.TB, platform string) fpsetting.Settings {
 	t.Helper()
 	dir := t.TempDir()
 	write := func(name, text string) string {
@@ -86,7 +86,7 @@
 	return s
 }
 
-func newSite(t *testing.T) *site {
+func newSite(t testing.TB) *site {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &site{
@@ -126,7 +126,7 @@
 }
 
 // await calls f until it is true.
-func await(t *testing.T, what string, f func() bool) {
+func await(t testing.TB, what string, f func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if f() {
@@ -136,7 +136,7 @@
 	t.Fatalf("waited in vain for %s", what)
 }
 
-func (s *site) configure(t *testing.T, engine, service string) {
+func (s *site) configure(t testing.TB, engine, service string) {
 	t.Helper()
 	await(t, "the operators' interface", func() bool {
 		_, err := s.client.Status(context.Background())
