An outage longer than a claim's patience joins the troubles

Cause: a 3 s outage is ridden out by the 3.5 s in which a claim is tried, so the goodput table said 100 %.

--- a/internal/fpdispatch/goodput_test.go
+++ b/internal/fpdispatch/goodput_test.go
@@ -26,6 +26,7 @@
 		"host killed":     {[]string{"host killed"}, 0},
 		"write late":      {[]string{"write late"}, 0},
 		"platform down":   {[]string{"platform down"}, 0},
+		"platform out":    {[]string{"platform out"}, 0},
 		"platform slow":   {[]string{"platform slow"}, 0},
 		"cut from all":    {[]string{"cut from all"}, 0},
 		"silent":          {[]string{"silent"}, minGoodput},
--- a/internal/fpdispatch/once_test.go
+++ b/internal/fpdispatch/once_test.go
@@ -67,6 +67,7 @@
 		},
 		"write late":     func(w *world) { w.during(2*time.Second, func(f *storeFaults, on bool) { f.late = pick(on, 0.5) }) },
 		"platform down":  func(w *world) { w.during(3*time.Second, func(f *storeFaults, on bool) { f.down = on }) },
+		"platform out":   func(w *world) { w.during(20*time.Second, func(f *storeFaults, on bool) { f.down = on }) },
 		"platform slow":  func(w *world) { w.during(6*time.Second, func(f *storeFaults, on bool) { f.delay = slow(on) }) },
 		"cut from store": func(w *world) { cutFor(victim(w), 3*time.Second, func(h *host, on bool) { h.cutStore = on }) },
 		"cut from all": func(w *world) {
@@ -239,7 +240,7 @@
 // draw returns the troubles of a seed: none, one or a pair.
 func draw(seed uint64) []string {
 	names := []string{
-		"host killed", "host frozen", "frozen for long", "answer lost", "write late", "platform down", "platform slow",
+		"host killed", "host frozen", "frozen for long", "answer lost", "write late", "platform down", "platform out", "platform slow",
 		"cut from store", "cut from all", "silent", "answer crossed", "reply lost", "service refused", "service gone",
 	}
 	n := uint64(len(names))
