--- a/internal/fpclock/clock.go
+++ b/internal/fpclock/clock.go
@@ -1,6 +1,7 @@
 package fpclock
 
 import (
+	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,3 +21,15 @@
 	}
 	return time.Duration(t.Nano())
 }
+
+// Sleep waits for d and reports whether it did, or the context ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/fpclock/doc.go
+++ b/internal/fpclock/doc.go
@@ -1,2 +1,3 @@
-// Package fpclock reads a clock that goes on while the machine is suspended.
+// Package fpclock reads a clock that goes on while the machine is suspended,
+// and sleeps until a context ends.
 package fpclock
--- a/internal/fpdispatch/once.go
+++ b/internal/fpdispatch/once.go
@@ -9,6 +9,7 @@
 
 	"github.com/fescuepoint/fescuepoint/internal/fpchat"
 	"github.com/fescuepoint/fescuepoint/internal/fpclaimant"
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/internal/fpstate"
 	"github.com/fescuepoint/fescuepoint/pkg/fpclaim"
 	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
@@ -209,7 +210,7 @@
 			silent = 0
 		case fpclaimant.Unreachable:
 			silent++
-			pause(ctx, askPause)
+			fpclock.Sleep(ctx, askPause)
 		default:
 			silent = maxSilentAsks
 		}
@@ -232,12 +233,3 @@
 	}
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/fpdispatch/world_test.go
+++ b/internal/fpdispatch/world_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpclaimant"
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/internal/fpmetric"
 	"github.com/fescuepoint/fescuepoint/internal/fppipe"
 	"github.com/fescuepoint/fescuepoint/internal/fpplatform"
@@ -270,7 +271,7 @@
 	w.mu.Unlock()
 	cut := func(h *host) bool { return h.dead || h.cutPeers }
 	if to == nil || to.is(cut) || p.host.is(cut) {
-		pause(ctx, 200*time.Millisecond)
+		fpclock.Sleep(ctx, 200*time.Millisecond)
 		return nil, errUnreachable
 	}
 	time.Sleep(time.Millisecond)
--- a/internal/fpengine/engine.go
+++ b/internal/fpengine/engine.go
@@ -1,10 +1,10 @@
 package fpengine
 
 import (
-	"container/heap"
 	"slices"
 	"time"
 
+	"github.com/fescuepoint/fescuepoint/internal/fpheap"
 	"github.com/fescuepoint/fescuepoint/pkg/fpprefix"
 )
 
@@ -73,7 +73,7 @@
 	Engine struct {
 		settings Settings
 		cache    *cache
-		waiting  queue
+		waiting  *fpheap.Heap[*job]
 		current  *job
 		chunkEnd time.Time
 		running  []*job
@@ -90,8 +90,6 @@
 		emitted int
 		nextAt  time.Time
 	}
-
-	queue []*job
 )
 
 // WithDefaults returns the settings with each zero field set to its default.
@@ -120,20 +118,27 @@
 // New returns an engine with an empty cache.
 func New(s Settings) *Engine {
 	s = s.WithDefaults()
-	return &Engine{settings: s, cache: newCache(s.CacheBlocks)}
+	return &Engine{settings: s, cache: newCache(s.CacheBlocks), waiting: fpheap.New(urgent)}
+}
+
+// urgent reports whether a goes before b: by deadline, then by arrival.
+func urgent(a, b *job) bool {
+	if !a.Deadline.Equal(b.Deadline) {
+		return a.Deadline.Before(b.Deadline)
+	}
+	return a.serial < b.serial
 }
 
 // Submit queues a request at time now.
 func (e *Engine) Submit(r Request, now time.Time) []Event {
 	e.serial++
-	heap.Push(&e.waiting, &job{Request: r, serial: e.serial})
+	e.waiting.Push(&job{Request: r, serial: e.serial})
 	return e.start(now)
 }
 
 // Cancel removes a request wherever it is; an unknown ID is ignored.
 func (e *Engine) Cancel(id string) {
-	e.waiting = slices.DeleteFunc(e.waiting, func(j *job) bool { return j.ID == id })
-	heap.Init(&e.waiting)
+	e.waiting.DeleteFunc(func(j *job) bool { return j.ID == id })
 	e.running = slices.DeleteFunc(e.running, func(j *job) bool { return j.ID == id })
 	if e.current != nil && e.current.ID == id {
 		e.current = nil
@@ -146,7 +151,9 @@
 // Reset empties the cache and drops all work, as a crash or new weights do.
 func (e *Engine) Reset() {
 	s := e.settings
-	*e = Engine{settings: s, cache: newCache(s.CacheBlocks), blocked: e.blocked}
+	blocked := e.blocked
+	*e = *New(s)
+	e.blocked = blocked
 }
 
 // Import stores blocks fetched from elsewhere.
@@ -171,7 +178,7 @@
 			at, found = j.nextAt, true
 		}
 	}
-	if e.current == nil && len(e.waiting) > 0 && len(e.running) < e.settings.MaxRunning {
+	if e.current == nil && e.waiting.Len() > 0 && len(e.running) < e.settings.MaxRunning {
 		if !found || e.blocked.Before(at) {
 			at, found = e.blocked, true
 		}
@@ -193,7 +200,7 @@
 
 // Load returns the engine's load at now; work under way counts with its rest.
 func (e *Engine) Load(now time.Time) Load {
-	l := Load{Waiting: len(e.waiting), Running: len(e.running)}
+	l := Load{Waiting: e.waiting.Len(), Running: len(e.running)}
 	add := func(tokens int, deadline time.Time) {
 		l.QueuedTokens += tokens
 		if !deadline.After(now.Add(SoonHorizon)) {
@@ -203,7 +210,7 @@
 			l.QueuedNow += tokens
 		}
 	}
-	for _, j := range e.waiting {
+	for _, j := range e.waiting.Items() {
 		add(j.rest(e.cache), j.Deadline)
 	}
 	if e.current != nil {
@@ -219,7 +226,7 @@
 	if e.current != nil {
 		sum += e.current.Tokens - e.current.done
 	}
-	for _, j := range e.waiting {
+	for _, j := range e.waiting.Items() {
 		if !j.Deadline.After(deadline) {
 			sum += j.rest(e.cache)
 		}
@@ -248,10 +255,10 @@
 
 // start begins a chunk of the most urgent request when the prefill unit is free.
 func (e *Engine) start(now time.Time) []Event {
-	if e.current != nil || len(e.waiting) == 0 || len(e.running) >= e.settings.MaxRunning || now.Before(e.blocked) {
+	if e.current != nil || e.waiting.Len() == 0 || len(e.running) >= e.settings.MaxRunning || now.Before(e.blocked) {
 		return nil
 	}
-	j := heap.Pop(&e.waiting).(*job)
+	j := e.waiting.Pop()
 	var out []Event
 	if !j.started {
 		j.started = true
@@ -275,7 +282,7 @@
 	}
 	j.done = min(j.done+fpprefix.BlockTokens, j.Tokens)
 	if j.done < j.Tokens {
-		heap.Push(&e.waiting, j)
+		e.waiting.Push(j)
 		return append(out, e.start(at)...)
 	}
 	e.cache.use(j.Keys)
@@ -315,28 +322,3 @@
 	out = append(out, Event{At: at, Kind: Finished, ID: j.ID, Cached: j.cached, Tokens: j.emitted})
 	return append(out, e.start(at)...)
 }
-
-// Len, Less, Swap, Push and Pop make the queue a heap by deadline, then arrival.
-func (q queue) Len() int { return len(q) }
-
-// Less reports whether request i goes before request j.
-func (q queue) Less(i, j int) bool {
-	if !q[i].Deadline.Equal(q[j].Deadline) {
-		return q[i].Deadline.Before(q[j].Deadline)
-	}
-	return q[i].serial < q[j].serial
-}
-
-// Swap exchanges two requests.
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push adds a request.
-func (q *queue) Push(v any) { *q = append(*q, v.(*job)) }
-
-// Pop removes the last request.
-func (q *queue) Pop() any {
-	old := *q
-	j := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return j
-}
--- a/internal/fpexperiment/world.go
+++ b/internal/fpexperiment/world.go
@@ -1,12 +1,12 @@
 package fpexperiment
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpengine"
+	"github.com/fescuepoint/fescuepoint/internal/fpheap"
 	"github.com/fescuepoint/fescuepoint/internal/fpworkload"
 	"github.com/fescuepoint/fescuepoint/pkg/fpprefix"
 	"github.com/fescuepoint/fescuepoint/pkg/fproute"
@@ -46,7 +46,7 @@
 		engines  []*engine
 		policy   Policy
 		random   *rand.Rand
-		queue    eventQueue
+		queue    *fpheap.Heap[event]
 		serial   int
 		requests map[string]*request
 		computed map[fpprefix.Key]bool
@@ -79,8 +79,6 @@
 		serial int
 		run    func()
 	}
-
-	eventQueue []event
 )
 
 const (
@@ -126,6 +124,14 @@
 	return s
 }
 
+// sooner reports whether event a comes before event b.
+func sooner(a, b event) bool {
+	if !a.at.Equal(b.at) {
+		return a.at.Before(b.at)
+	}
+	return a.serial < b.serial
+}
+
 // Run plays the workload under a policy and returns what was measured.
 func Run(s Settings, maker func(*Topology) Policy) *Result {
 	s = s.WithDefaults()
@@ -137,6 +143,7 @@
 		computed: map[fpprefix.Key]bool{},
 		result:   newResult(),
 		cutZone:  -1,
+		queue:    fpheap.New(sooner),
 	}
 	w.now = w.start
 	w.build()
@@ -174,12 +181,12 @@
 // after runs f a while from now.
 func (w *world) after(d time.Duration, f func()) {
 	w.serial++
-	heap.Push(&w.queue, event{at: w.now.Add(d), serial: w.serial, run: f})
+	w.queue.Push(event{at: w.now.Add(d), serial: w.serial, run: f})
 }
 
 func (w *world) loop(until time.Time) {
-	for len(w.queue) > 0 {
-		e := heap.Pop(&w.queue).(event)
+	for w.queue.Len() > 0 {
+		e := w.queue.Pop()
 		if e.at.After(until) {
 			return
 		}
@@ -358,28 +365,3 @@
 func (w *world) view(q *request) fproute.View {
 	return fproute.View{Zone: w.settings.Shape.Zones[q.Zone], Hosts: w.settings.Shape.HostsZone}
 }
-
-// Len, Less, Swap, Push and Pop make the queue a heap by time.
-func (q eventQueue) Len() int { return len(q) }
-
-// Less reports whether event i comes before event j.
-func (q eventQueue) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].serial < q[j].serial
-}
-
-// Swap exchanges two events.
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push adds an event.
-func (q *eventQueue) Push(v any) { *q = append(*q, v.(event)) }
-
-// Pop removes the last event.
-func (q *eventQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
--- a/internal/fpfollower/follower.go
+++ b/internal/fpfollower/follower.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/internal/fpplatform"
 	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
 )
@@ -200,11 +201,11 @@
 func (f *Follower) Follow(ctx context.Context, duty func() bool) error {
 	for ctx.Err() == nil {
 		if !duty() {
-			pause(ctx, dutyEvery)
+			fpclock.Sleep(ctx, dutyEvery)
 			continue
 		}
 		if err := f.followOnce(ctx); err != nil {
-			pause(ctx, retryEvery)
+			fpclock.Sleep(ctx, retryEvery)
 		}
 	}
 	return nil
@@ -278,12 +279,3 @@
 	mine, kept := r.Patch(version)
 	return p.Version() != version || kept && mine.ID != p.ID, nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/fpfollower/patch.go
+++ b/internal/fpfollower/patch.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/internal/fpplatform"
 	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
 )
@@ -77,7 +78,7 @@
 			return errors.Wrapf(ErrUnknown, "patch %s", p.ID)
 		}
 		if !errors.Is(err, fpplatform.ErrConflict) {
-			pause(ctx, settleEvery)
+			fpclock.Sleep(ctx, settleEvery)
 		}
 	}
 }
--- a/internal/fpgossip/fleet_test.go
+++ b/internal/fpgossip/fleet_test.go
@@ -1,13 +1,13 @@
 package fpgossip
 
 import (
-	"container/heap"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/fescuepoint/fescuepoint/internal/fpheap"
 	"github.com/fescuepoint/fescuepoint/pkg/fpmember"
 )
 
@@ -24,7 +24,7 @@
 	// fleet plays membership tables against each other in virtual time.
 	fleet struct {
 		now    time.Time
-		queue  deliveries
+		queue  *fpheap.Heap[delivery]
 		hosts  []*fleetHost
 		byName map[string]*fleetHost
 		serial int
@@ -45,12 +45,18 @@
 		serial int
 		run    func()
 	}
-
-	deliveries []delivery
 )
 
+// sooner reports whether delivery a comes before delivery b.
+func sooner(a, b delivery) bool {
+	if !a.at.Equal(b.at) {
+		return a.at.Before(b.at)
+	}
+	return a.serial < b.serial
+}
+
 func newFleet(zones, perZone int) *fleet {
-	f := &fleet{now: time.Unix(1000, 0), byName: make(map[string]*fleetHost)}
+	f := &fleet{now: time.Unix(1000, 0), byName: make(map[string]*fleetHost), queue: fpheap.New(sooner)}
 	for z := range zones {
 		for i := range perZone {
 			f.add(fpmember.Member{
@@ -65,7 +71,7 @@
 		for _, o := range f.hosts {
 			h.table.Hint(o.table.Self())
 		}
-		offset := time.Duration(len(f.queue)*7919%500) * time.Millisecond
+		offset := time.Duration(f.queue.Len()*7919%500) * time.Millisecond
 		f.after(offset, func() { f.tick(h) })
 	}
 	return f
@@ -79,13 +85,13 @@
 
 func (f *fleet) after(d time.Duration, run func()) {
 	f.serial++
-	heap.Push(&f.queue, delivery{at: f.now.Add(d), serial: f.serial, run: run})
+	f.queue.Push(delivery{at: f.now.Add(d), serial: f.serial, run: run})
 }
 
 func (f *fleet) run(d time.Duration) {
 	end := f.now.Add(d)
-	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
-		e := heap.Pop(&f.queue).(delivery)
+	for f.queue.Len() > 0 && !f.queue.First().at.After(end) {
+		e := f.queue.Pop()
 		f.now = e.at
 		e.run()
 	}
@@ -278,28 +284,3 @@
 		})
 	}
 }
-
-// Len returns the number of deliveries.
-func (q deliveries) Len() int { return len(q) }
-
-// Less reports whether delivery i comes before delivery j.
-func (q deliveries) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].serial < q[j].serial
-}
-
-// Swap exchanges two deliveries.
-func (q deliveries) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push adds a delivery.
-func (q *deliveries) Push(v any) { *q = append(*q, v.(delivery)) }
-
-// Pop removes the last delivery.
-func (q *deliveries) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
--- /dev/null
+++ b/internal/fpheap/doc.go
@@ -0,0 +1,2 @@
+// Package fpheap is a priority queue of any type.
+package fpheap
--- a/internal/fphost/gossip.go
+++ b/internal/fphost/gossip.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/internal/fpgossip"
 	"github.com/fescuepoint/fescuepoint/pkg/fplimit"
 	"github.com/fescuepoint/fescuepoint/pkg/fpmember"
@@ -163,7 +164,7 @@
 				next++
 			}
 		})
-		h.wait(ctx, joinEvery)
+		fpclock.Sleep(ctx, joinEvery)
 	}
 	return nil
 }
@@ -223,15 +224,6 @@
 	})
 }
 
-func (h *Host) wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // every calls f at a pace until the context ends.
 func every(ctx context.Context, d time.Duration, f func()) error {
 	t := time.NewTicker(d)
--- a/internal/fphost/host.go
+++ b/internal/fphost/host.go
@@ -19,6 +19,7 @@
 
 	"github.com/fescuepoint/fescuepoint/internal/fpcaller"
 	"github.com/fescuepoint/fescuepoint/internal/fpclaimant"
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/internal/fpdispatch"
 	"github.com/fescuepoint/fescuepoint/internal/fpfollower"
 	"github.com/fescuepoint/fescuepoint/internal/fpgossip"
@@ -255,7 +256,7 @@
 		h.announce(c)
 	})
 	_ = h.logger.Log("Message", "stopping", "Notice", h.settings.Stop.Notice.String(), "Running", h.dispatcher.Running())
-	h.wait(inner, h.settings.Stop.Notice)
+	fpclock.Sleep(inner, h.settings.Stop.Notice)
 	callers.stop()
 	return nil
 }
--- a/internal/fphost/status.go
+++ b/internal/fphost/status.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/internal/fpoperator"
 	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
 	"github.com/fescuepoint/fescuepoint/pkg/fprecord"
@@ -84,7 +85,7 @@
 		if !behind || ctx.Err() != nil {
 			return all
 		}
-		h.wait(ctx, convergeEvery)
+		fpclock.Sleep(ctx, convergeEvery)
 	}
 }
 
--- a/internal/fpload/load.go
+++ b/internal/fpload/load.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpchat"
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/internal/fpworkload"
 	"github.com/fescuepoint/fescuepoint/pkg/fpprefix"
 )
@@ -90,7 +91,7 @@
 	start := time.Now()
 	var wg sync.WaitGroup
 	for r := g.Next(); r.At < s.Warm+s.Duration; r = g.Next() {
-		if !sleepUntil(ctx, start.Add(r.At)) {
+		if !fpclock.Sleep(ctx, time.Until(start.Add(r.At))) {
 			break
 		}
 		wg.Go(func() { d.send(ctx, r) })
@@ -100,17 +101,6 @@
 	return d.report()
 }
 
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	timer := time.NewTimer(time.Until(t))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (d *drive) send(ctx context.Context, r fpworkload.Request) {
 	v, err := d.ask(ctx, r)
 	if r.At < d.settings.Warm {
--- a/internal/fpstandin/fault.go
+++ b/internal/fpstandin/fault.go
@@ -1,11 +1,12 @@
 package fpstandin
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 )
 
 type (
@@ -89,7 +90,7 @@
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
-		pause(r.Context(), time.Duration(now.DelayMilliseconds)*time.Millisecond)
+		fpclock.Sleep(r.Context(), time.Duration(now.DelayMilliseconds)*time.Millisecond)
 		if f.take(func(f *Faults) *int { return &f.LoseAnswers }) {
 			next.ServeHTTP(&discard{header: make(http.Header)}, r)
 			panic(http.ErrAbortHandler)
@@ -110,18 +111,6 @@
 // Flush does nothing.
 func (d *discard) Flush() {}
 
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
--- a/internal/fpstandin/small.go
+++ b/internal/fpstandin/small.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/internal/fpupstream"
 )
 
@@ -93,7 +94,7 @@
 		n := s.loading.Add(1)
 		defer s.loading.Add(-1)
 		s.most.Store(max(s.most.Load(), n))
-		pause(r.Context(), s.work*time.Duration(max(n, freeLoads))/freeLoads)
+		fpclock.Sleep(r.Context(), s.work*time.Duration(max(n, freeLoads))/freeLoads)
 		writeJSON(w, r.PathValue("version"))
 	})
 	m.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Most()) })
--- a/internal/fpupstream/call.go
+++ b/internal/fpupstream/call.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpchat"
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 )
 
 const (
@@ -94,7 +95,7 @@
 			continue
 		}
 		failures++
-		wait(ctx, c.silence/maxAsks)
+		fpclock.Sleep(ctx, c.silence/maxAsks)
 	}
 	return answered{err: errors.Mark(cause, ErrCut)}
 }
@@ -140,12 +141,3 @@
 	}
 	return Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}, nil
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/fporder/order.go
+++ b/pkg/fporder/order.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		service := r.Zone + "/" + r.Model
-		if serving[service] < 2 && !elsewhere(replicas, r, declared[service]) {
+		if serving[service] < 2 && !p.elsewhere(replicas, r, declared[service], now) {
 			continue
 		}
 		serving[service]--
@@ -90,12 +90,12 @@
 
 // elsewhere reports whether the zone's only replica of a model may be taken
 // because another zone serves the model meanwhile.
-func elsewhere(replicas []Replica, only Replica, declared int) bool {
+func (p *Planner) elsewhere(replicas []Replica, only Replica, declared int, now time.Duration) bool {
 	if declared > 1 {
 		return false
 	}
 	for _, r := range replicas {
-		if r.Model == only.Model && r.Zone != only.Zone && r.serves() {
+		if r.Model == only.Model && r.Zone != only.Zone && r.serves() && !p.isPending(r.Name, now) {
 			return true
 		}
 	}
