--- a/internal/fpfollower/follower_test.go
+++ b/internal/fpfollower/follower_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
@@ -36,6 +37,7 @@
 		versions  [][]uint64
 		patches   map[string]fpconfig.Patch
 		results   map[string]error
+		history   []porcupine.Operation
 	}
 
 	// faulty is the store as the followers reach it.
@@ -132,9 +134,11 @@
 func (f *fleet) patch(id string, host int) (uint64, error) {
 	r, _ := f.followers[host].Replica()
 	p := fpconfig.Patch{ID: id, Base: r.Current().Version, Set: fpconfig.Document{Teams: []fpconfig.Team{team(id)}}}
+	began := time.Now()
 	v, err := f.followers[host].Patch(context.Background(), p)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.record(began, host, p, err)
 	f.patches[id] = p
 	f.results[id] = err
 	return v, err
@@ -190,6 +194,7 @@
 		f.set(false, 0)
 		time.Sleep(2 * watchFor)
 		f.check(t, seed)
+		f.checkLinear(t, seed)
 		cancel()
 		time.Sleep(retryEvery)
 		synctest.Wait()
--- /dev/null
+++ b/internal/fphost/memory_test.go
@@ -0,0 +1,57 @@
+package fphost
+
+import (
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	openStreams = 1000
+	// maxStreamBytes is the users' bound for that many open streams.
+	maxStreamBytes = 256 << 20
+)
+
+// TestOpenStreams holds a thousand streams open at once, and counts the memory
+// of the host together with that of the stand-ins and callers in this process.
+func TestOpenStreams(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.engine.Hold(time.Hour)
+	body := `{"model":"tutor","stream":true,"messages":[{"role":"user","content":"` + strings.Repeat("x", 4000) + `"}]}`
+	responses := make([]*http.Response, openStreams)
+	var wg sync.WaitGroup
+	for i := range responses {
+		wg.Go(func() {
+			req, err := http.NewRequest(http.MethodPost, s.callers+"/v1/chat/completions", strings.NewReader(body))
+			if err != nil {
+				return
+			}
+			req.Header.Set("Authorization", "Bearer "+teamKey)
+			responses[i], _ = http.DefaultClient.Do(req)
+		})
+	}
+	wg.Wait()
+	open := 0
+	for _, r := range responses {
+		if r != nil && r.StatusCode == http.StatusOK {
+			open++
+		}
+	}
+	is.Equal(open, openStreams)
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	t.Logf("%d streams: %d MB in use of the heap, %d MB of stacks, in this process", open, m.HeapInuse>>20, m.StackInuse>>20)
+	if m.HeapInuse+m.StackInuse > maxStreamBytes {
+		t.Errorf("%d bytes, bound %d", m.HeapInuse+m.StackInuse, maxStreamBytes)
+	}
+	for _, r := range responses {
+		_ = r.Body.Close()
+	}
+	s.stop()
+}
