--- a/cmd/fescuepointd/process_test.go
+++ b/cmd/fescuepointd/process_test.go
@@ -228,7 +228,12 @@
 	t.Run("engine killed", func(t *testing.T) { d.t = t; d.engineKilled() })
 	t.Run("rollout", func(t *testing.T) { d.t = t; d.rollout() })
 	t.Run("planned stop", func(t *testing.T) {
+		d.t = t
+		d.twoSignals()
 		for i := range hostCount {
+			if _, ok := d.processes[fmt.Sprintf("entry-%d", i)]; !ok {
+				continue
+			}
 			if err := d.end(fmt.Sprintf("entry-%d", i), syscall.SIGTERM); err != nil {
 				t.Errorf("entry-%d: %v", i, err)
 			}
@@ -236,6 +241,34 @@
 	})
 }
 
+// twoSignals stops a host while a call runs: the second signal says what is
+// under way, the call ends whole, and the host exits in order.
+func (d *deployment) twoSignals() {
+	answer := make(chan string, 1)
+	go func() {
+		out, _ := d.command(0, "call", "--request-id", "cert-stop", "booking", "/certificate", "x")
+		answer <- out
+	}()
+	d.await("the call to run", func() bool { return d.runs("cert-stop") == 1 })
+	logged := func(text string) func() bool {
+		return func() bool {
+			data, _ := os.ReadFile(filepath.Join(d.dir, "entry-0.log"))
+			return strings.Contains(string(data), text)
+		}
+	}
+	d.signal("entry-0", syscall.SIGTERM)
+	d.await("the stop to begin", logged(`"stopping"`))
+	if err := d.end("entry-0", syscall.SIGTERM); err != nil {
+		d.t.Errorf("entry-0: %v", err)
+	}
+	if !logged("1 requests under way")() {
+		d.t.Error("the second signal did not say what was under way")
+	}
+	if out := <-answer; !strings.Contains(out, `"Run":1`) {
+		d.t.Errorf("the call under way was cut: %s", out)
+	}
+}
+
 // killedWhileRunning kills the host that dispatched a call; a repeat through
 // another host neither runs it again nor says that it did not run.
 func (d *deployment) killedWhileRunning() {
--- a/cmd/fescuestandin/drive.go
+++ b/cmd/fescuestandin/drive.go
@@ -22,6 +22,9 @@
 		Warm     time.Duration `help:"Time before it." default:"10s"`
 		Rate     float64       `help:"Requests a second; 0 takes the workload's."`
 		Seed     uint64        `help:"Seed of the requests." default:"1"`
+		Service  string        `help:"Service that gets non-idempotent calls beside the prompts."`
+		Path     string        `help:"Path of these calls." default:"/certificate"`
+		Share    float64       `help:"Calls for each prompt." default:"0.02"`
 		Output   string        `help:"Form of the report." enum:"text,json" default:"text"`
 	}
 
@@ -38,14 +41,17 @@
 		return err
 	}
 	r := fpload.Run(ctx, fpload.Settings{
-		Shape:    shape,
-		Seed:     c.Seed,
-		Callers:  c.Callers,
-		TeamKeys: c.TeamKeys,
-		Model:    c.Model,
-		Duration: c.Duration,
-		Warm:     c.Warm,
-		Rate:     c.Rate,
+		Shape:     shape,
+		Seed:      c.Seed,
+		Callers:   c.Callers,
+		TeamKeys:  c.TeamKeys,
+		Model:     c.Model,
+		Duration:  c.Duration,
+		Warm:      c.Warm,
+		Rate:      c.Rate,
+		Service:   c.Service,
+		Path:      c.Path,
+		CallShare: c.Share,
 	})
 	if c.Output == "json" {
 		return json.NewEncoder(os.Stdout).Encode(r)
--- a/cmd/fescuestandin/main.go
+++ b/cmd/fescuestandin/main.go
@@ -54,6 +54,8 @@
 		CacheBlocks   int           `help:"Blocks of a thousand tokens that fit the cache." default:"200"`
 		TokenInterval time.Duration `help:"Time between tokens." default:"12ms"`
 		EventLoss     float64       `help:"Share of cache events that are lost."`
+		EventLag      time.Duration `help:"How late cache events can be read."`
+		CacheStore    string        `help:"Address of the store that cache blocks are exported to."`
 	}
 
 	serviceCommand struct {
@@ -120,6 +122,8 @@
 		ChecksFencing: c.ChecksFencing,
 		WeightStore:   c.WeightStore,
 		EventLoss:     c.EventLoss,
+		EventLag:      c.EventLag,
+		CacheStore:    c.CacheStore,
 		Sizes: fpengine.Settings{
 			PrefillTokensPerSecond: c.PrefillRate,
 			CacheBlocks:            c.CacheBlocks,
--- a/internal/fpchat/chat.go
+++ b/internal/fpchat/chat.go
@@ -31,6 +31,8 @@
 	ReasonHeader = "X-Fescuepoint-Reason"
 	// WeightsHeader carries the weights version that a request was placed for.
 	WeightsHeader = "X-Weights"
+	// ImportHeader asks an engine to import the prompt's blocks from the cache store first.
+	ImportHeader = "X-Import"
 	// EventStream is the content type of a streamed answer.
 	EventStream = "text/event-stream"
 	// Heartbeat is the comment that keeps a quiet stream alive.
--- a/internal/fpload/load.go
+++ b/internal/fpload/load.go
@@ -25,6 +25,8 @@
 	// longestFirstToken bounds the histogram, in microseconds.
 	longestFirstToken = 120_000_000
 	significantDigits = 3
+	// callCycle is the number of prompts over which calls are spread.
+	callCycle = 100
 )
 
 type (
@@ -38,6 +40,11 @@
 		Duration time.Duration
 		Warm     time.Duration
 		Rate     float64
+		// Service and Path name a non-idempotent call that is made beside the
+		// prompts, CallShare times as often; an empty Service makes none.
+		Service   string
+		Path      string
+		CallShare float64
 	}
 
 	// ClassReport is what the callers of one team and class saw; times are in milliseconds.
@@ -49,6 +56,8 @@
 		Broken       int
 		PromptTokens int
 		CachedTokens int
+		// Recomputed counts tokens of levels that had been asked for before and were not found cached.
+		Recomputed   int
 		HitRate      float64
 		FirstToken50 float64
 		FirstToken99 float64
@@ -59,6 +68,14 @@
 	Report struct {
 		Workload string
 		Classes  []*ClassReport
+		Calls    CallReport
+	}
+
+	// CallReport is what became of the non-idempotent calls.
+	CallReport struct {
+		Calls   int
+		Refused int
+		Doubled int
 	}
 
 	drive struct {
@@ -66,6 +83,8 @@
 		client   *http.Client
 		mu       sync.Mutex
 		classes  map[string]*ClassReport
+		asked    map[fpprefix.Key]bool
+		calls    CallReport
 	}
 
 	seen struct {
@@ -86,6 +105,7 @@
 		settings: s,
 		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
 		classes:  make(map[string]*ClassReport),
+		asked:    make(map[fpprefix.Key]bool),
 	}
 	g := fpworkload.NewGenerator(s.Shape, s.Seed)
 	start := time.Now()
@@ -94,14 +114,57 @@
 		if !fpclock.Sleep(ctx, time.Until(start.Add(r.At))) {
 			break
 		}
-		wg.Go(func() { d.send(ctx, r) })
+		before := d.askedBefore(r)
+		wg.Go(func() { d.send(ctx, r, before) })
+		if s.Service != "" && float64(r.Serial%callCycle) < s.CallShare*callCycle {
+			wg.Go(func() { d.call(ctx, r) })
+		}
 	}
 	wg.Wait()
 	d.client.CloseIdleConnections()
 	return d.report()
 }
 
-func (d *drive) send(ctx context.Context, r fpworkload.Request) {
+// askedBefore returns the tokens of the longest level that was asked for before, and marks all of them.
+func (d *drive) askedBefore(r fpworkload.Request) int {
+	before := 0
+	for _, l := range r.Prompt.Levels {
+		if d.asked[l.Key] {
+			before = l.Tokens
+		}
+		d.asked[l.Key] = true
+	}
+	return before
+}
+
+// call makes one non-idempotent call and looks how often it ran.
+func (d *drive) call(ctx context.Context, r fpworkload.Request) {
+	s := d.settings
+	host := s.Callers[r.Serial%len(s.Callers)]
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, host+"/services/"+s.Service+s.Path, strings.NewReader("load"))
+	if err != nil {
+		return
+	}
+	req.Header.Set("Authorization", "Bearer "+s.TeamKeys[0])
+	req.Header.Set(fpchat.RequestHeader, fmt.Sprintf("load-%d-%d", s.Seed, r.Serial))
+	var answer struct{ Run int }
+	res, err := d.client.Do(req)
+	if err == nil {
+		err = json.NewDecoder(res.Body).Decode(&answer)
+		_ = res.Body.Close()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.calls.Calls++
+	switch {
+	case err != nil || res.StatusCode != http.StatusOK:
+		d.calls.Refused++
+	case answer.Run > 1:
+		d.calls.Doubled++
+	}
+}
+
+func (d *drive) send(ctx context.Context, r fpworkload.Request, before int) {
 	v, err := d.ask(ctx, r)
 	if r.At < d.settings.Warm {
 		return
@@ -118,6 +181,7 @@
 	default:
 		c.PromptTokens += v.prompt
 		c.CachedTokens += v.cached
+		c.Recomputed += max(before-v.cached, 0)
 		_ = c.histogram.RecordValue(min(v.first.Microseconds(), longestFirstToken))
 	}
 }
@@ -208,7 +272,7 @@
 }
 
 func (d *drive) report() Report {
-	r := Report{Workload: d.settings.Shape.Name}
+	r := Report{Workload: d.settings.Shape.Name, Calls: d.calls}
 	for _, c := range d.classes {
 		if c.PromptTokens > 0 {
 			c.HitRate = float64(c.CachedTokens) / float64(c.PromptTokens)
@@ -227,14 +291,19 @@
 func (r Report) String() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%-8s %-12s %9s %8s %7s %7s %10s %10s\n", "team", "class", "requests", "refused", "broken", "hit", "first 50", "first 99")
-	hit, prompt := 0, 0
+	hit, prompt, recomputed := 0, 0, 0
 	for _, c := range r.Classes {
 		fmt.Fprintf(&b, "%-8s %-12s %9d %8d %7d %7.3f %8.1fms %8.1fms\n", c.Team, c.Class, c.Requests, c.Refused, c.Broken, c.HitRate, c.FirstToken50, c.FirstToken99)
 		hit += c.CachedTokens
 		prompt += c.PromptTokens
+		recomputed += c.Recomputed
 	}
 	if prompt > 0 {
 		fmt.Fprintf(&b, "prefix hit rate over all tokens: %.3f\n", float64(hit)/float64(prompt))
 	}
+	fmt.Fprintf(&b, "tokens recomputed that had been asked for before: %d\n", recomputed)
+	if r.Calls.Calls > 0 {
+		fmt.Fprintf(&b, "non-idempotent calls: %d, not completed %d, run twice %d\n", r.Calls.Calls, r.Calls.Refused, r.Calls.Doubled)
+	}
 	return b.String()
 }
--- a/internal/fpstandin/engine.go
+++ b/internal/fpstandin/engine.go
@@ -39,6 +39,10 @@
 		Sizes       fpengine.Settings
 		// EventLoss is the share of cache events that are lost, from 0 to 1.
 		EventLoss float64
+		// EventLag is how late cache events can be read.
+		EventLag time.Duration
+		// CacheStore is the address that stored blocks are exported to; empty exports none.
+		CacheStore string
 	}
 
 	// Engine serves the model engine's protocol around the engine model.
@@ -92,7 +96,7 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		weights:     s.Weights,
 		wake:        make(chan struct{}, 1),
-		events:      eventLog{loss: s.EventLoss},
+		events:      eventLog{loss: s.EventLoss, lag: s.EventLag},
 		counts:      EngineCounts{Runs: make(map[string]int)},
 	}
 }
@@ -196,6 +200,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if r.Header.Get(fpchat.ImportHeader) != "" {
+		e.importBlocks(r.Context(), chain(req.CacheSalt, req.Text()))
+	}
 	id := r.Header.Get(fpchat.AttemptHeader)
 	a, status := e.admit(id, r.Header.Get(fpchat.RequestHeader), r.Header.Get(fpchat.WeightsHeader), req)
 	if status != http.StatusOK {
@@ -283,6 +290,7 @@
 		switch v.Kind {
 		case fpengine.Stored, fpengine.Evicted:
 			e.events.add(v)
+			e.export(v)
 			continue
 		case fpengine.Started:
 			e.started(v)
--- a/internal/fpstandin/order.go
+++ b/internal/fpstandin/order.go
@@ -20,8 +20,14 @@
 	// eventLog keeps the latest cache events with sequence numbers, some of them lost.
 	eventLog struct {
 		loss   float64
+		lag    time.Duration
 		next   int64
-		events []fpupstream.CacheEvent
+		events []loggedEvent
+	}
+
+	loggedEvent struct {
+		fpupstream.CacheEvent
+		at time.Time
 	}
 )
 
@@ -30,11 +36,8 @@
 	if l.loss > 0 && rand.Float64() < l.loss {
 		return
 	}
-	l.events = append(l.events, fpupstream.CacheEvent{
-		Sequence: l.next,
-		Stored:   v.Kind == fpengine.Stored,
-		Key:      uint64(v.Key),
-	})
+	e := fpupstream.CacheEvent{Sequence: l.next, Stored: v.Kind == fpengine.Stored, Key: uint64(v.Key)}
+	l.events = append(l.events, loggedEvent{CacheEvent: e, at: v.At})
 	if len(l.events) > keptEvents {
 		l.events = l.events[len(l.events)-keptEvents:]
 	}
@@ -51,8 +54,8 @@
 	defer e.mu.Unlock()
 	res := fpupstream.CacheEvents{Incarnation: e.incarnation}
 	for _, v := range e.events.events {
-		if v.Sequence > after {
-			res.Events = append(res.Events, v)
+		if v.Sequence > after && time.Since(v.at) >= e.events.lag {
+			res.Events = append(res.Events, v.CacheEvent)
 		}
 	}
 	writeJSON(w, res)
--- a/internal/fpstandin/small.go
+++ b/internal/fpstandin/small.go
@@ -133,3 +133,10 @@
 	}
 	_, _ = w.Write(data)
 }
+
+// Len returns the number of blocks kept.
+func (c *CacheStore) Len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.blocks)
+}
--- a/scripts/load.sh
+++ b/scripts/load.sh
@@ -17,6 +17,8 @@
     declared+="{\"Name\": \"engine-${zones[$z]}$n\", \"Kind\": \"Engine\", \"Address\": \"127.0.0.1:$port\", \"AvailabilityZone\": \"${zones[$z]}\", \"Model\": \"tutor\"},"
   done
 done
+start booking "$bin/fescuestandin" service --address 127.0.0.1:7301 --name booking
+declared+="{\"Name\": \"booking\", \"Kind\": \"Service\", \"Address\": \"127.0.0.1:7301\", \"AvailabilityZone\": \"a\", \"Service\": \"booking\"},"
 callers=""
 for z in 0 1 2; do
   for n in 0 1; do
@@ -35,10 +37,10 @@
   teams+="{\"Name\": \"team-$t\", \"KeySHA256\": \"$(sha "key-$t")\"},"
   keys+="key-$t,"
 done
-echo "{\"Set\": {\"Teams\": [${teams%,}], \"Models\": [{\"Name\": \"tutor\", \"Weights\": \"1\"}], \"Upstreams\": [${declared%,}]}}" >"$run/patch.json"
+echo "{\"Set\": {\"Teams\": [${teams%,}], \"Models\": [{\"Name\": \"tutor\", \"Weights\": \"1\"}], \"Services\": [{\"Name\": \"booking\"}], \"Upstreams\": [${declared%,}]}}" >"$run/patch.json"
 "$bin/fescuepoint" patch "$run/patch.json" --wait >/dev/null
-upstreams 9
-"$bin/fescuestandin" load "$workload" --callers "${callers%,}" --team-keys "${keys%,}" --duration "${seconds}s" --warm 10s
+upstreams 10
+"$bin/fescuestandin" load "$workload" --callers "${callers%,}" --team-keys "${keys%,}" --duration "${seconds}s" --warm 10s --service booking
 for port in 80 83; do
   FESCUEPOINT_OPERATORS=http://127.0.0.1:90$port "$bin/fescuepoint" --output json status |
     sed -n 's/.*"\(Host\|DatagramBytes[A-Za-z]*\)": "\{0,1\}\([^",]*\).*/\1 \2/p' | head -3
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -59,8 +59,11 @@
 echo "== why"
 "$bin/fescuepoint" explain ask-3
 "$bin/fescuepoint" explain cert-1
-echo "== tokens hit and recomputed at entry-1"
-fetch 127.0.0.1 8080 /metrics | grep -E 'prompt_tokens_(hit|recomputed)'
+echo "== prefix hit rate over both hosts"
+{ fetch 127.0.0.1 8080 /metrics && fetch 127.0.0.1 8081 /metrics; } | awk '
+  /prompt_tokens_hit/ { hit += $2 }
+  /prompt_tokens_recomputed/ { missed += $2 }
+  END { printf "%.3f (%d of %d prompt tokens)\n", hit / (hit + missed), hit, hit + missed }'
 
 if [ -n "${KEEP:-}" ]; then
   echo "== left up; end it with Ctrl-C"
