What chat and service calls have in common stands once

Reading: the checks of team, headers, request ID and body stood in both handlers in the same order; begin holds them.

--- a/internal/fpcaller/chat.go
+++ b/internal/fpcaller/chat.go
@@ -45,23 +45,8 @@
 )
 
 func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
-	t, f := s.team(r)
-	if f != nil {
-		s.refuse(w, "", f)
-		return
-	}
-	q, f := s.query(r, t)
-	if f == nil {
-		f = s.identify(&q)
-	}
-	if f != nil {
-		s.refuse(w, q.RequestID, f)
-		return
-	}
-	w.Header().Set(fpchat.RequestHeader, q.RequestID)
-	data, f := s.body(w, r)
-	if f != nil {
-		s.refuse(w, q.RequestID, f)
+	q, t, data, ok := s.begin(w, r, func(*fpdispatch.Query) *fault { return nil })
+	if !ok {
 		return
 	}
 	req, m, f := s.parse(data)
@@ -69,7 +54,6 @@
 		s.refuse(w, q.RequestID, f)
 		return
 	}
-	q.Asked = s.dispatcher.Clock()
 	q.Body = hashBody([]byte(chatPath), data)
 	tokens := fpprefix.Tokens(req.Text())
 	if refusal := s.admit(&q, t, tokens); refusal != nil {
--- a/internal/fpcaller/server.go
+++ b/internal/fpcaller/server.go
@@ -184,6 +184,32 @@
 	return q, nil
 }
 
+// begin takes in what all requests have in common: the team, the headers and
+// the body. Between headers and body, declared may correct what the headers
+// say. When ok is false the request has been refused.
+func (s *Server) begin(w http.ResponseWriter, r *http.Request, declared func(*fpdispatch.Query) *fault) (q fpdispatch.Query, t fpconfig.Team, data []byte, ok bool) {
+	t, f := s.team(r)
+	if f == nil {
+		q, f = s.query(r, t)
+	}
+	if f == nil {
+		f = declared(&q)
+	}
+	if f == nil {
+		f = s.identify(&q)
+	}
+	if f == nil {
+		w.Header().Set(fpchat.RequestHeader, q.RequestID)
+		data, f = s.body(w, r)
+	}
+	if f != nil {
+		s.refuse(w, q.RequestID, f)
+		return q, t, nil, false
+	}
+	q.Asked = s.dispatcher.Clock()
+	return q, t, data, true
+}
+
 // identify makes sure that a non-idempotent request has an ID and gives the others one.
 func (s *Server) identify(q *fpdispatch.Query) *fault {
 	if q.RequestID != "" {
--- a/internal/fpcaller/service.go
+++ b/internal/fpcaller/service.go
@@ -6,39 +6,26 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpchat"
 	"github.com/fescuepoint/fescuepoint/internal/fpclaimant"
 	"github.com/fescuepoint/fescuepoint/internal/fpdispatch"
+	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
 	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
 	"github.com/fescuepoint/fescuepoint/pkg/fpprefix"
 )
 
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
-	t, f := s.team(r)
-	if f != nil {
-		s.refuse(w, "", f)
-		return
-	}
-	q, f := s.query(r, t)
-	if f != nil {
-		s.refuse(w, q.RequestID, f)
-		return
-	}
-	declared, ok := s.state.Load().Config.Document.Service(r.PathValue("name"))
-	if !ok {
-		s.refuse(w, q.RequestID, &fault{http.StatusNotFound, "unknown_service", "the service is not declared"})
-		return
-	}
+	var declared fpconfig.Service
 	path := "/" + r.PathValue("path")
-	q.Idempotent = q.Idempotent && declared.Idempotent(path)
-	if f := s.identify(&q); f != nil {
-		s.refuse(w, q.RequestID, f)
-		return
-	}
-	w.Header().Set(fpchat.RequestHeader, q.RequestID)
-	data, f := s.body(w, r)
-	if f != nil {
-		s.refuse(w, q.RequestID, f)
+	q, t, data, ok := s.begin(w, r, func(q *fpdispatch.Query) *fault {
+		var known bool
+		declared, known = s.state.Load().Config.Document.Service(r.PathValue("name"))
+		if !known {
+			return &fault{http.StatusNotFound, "unknown_service", "the service is not declared"}
+		}
+		q.Idempotent = q.Idempotent && declared.Idempotent(path)
+		return nil
+	})
+	if !ok {
 		return
 	}
-	q.Asked = s.dispatcher.Clock()
 	q.Body = hashBody([]byte(r.Method), []byte(declared.Name+path), data)
 	if refusal := s.admit(&q, t, fpprefix.Tokens(string(data))); refusal != nil {
 		s.limited(w, q, refusal)
