--- a/cmd/fescuestandin/main.go
+++ b/cmd/fescuestandin/main.go
@@ -55,6 +55,7 @@
 		TokenInterval time.Duration `help:"Time between tokens." default:"12ms"`
 		EventLoss     float64       `help:"Share of cache events that are lost."`
 		EventLag      time.Duration `help:"How late cache events can be read."`
+		ReportLag     time.Duration `help:"How old load reports are."`
 		CacheStore    string        `help:"Address of the store that cache blocks are exported to."`
 	}
 
@@ -123,6 +124,7 @@
 		WeightStore:   c.WeightStore,
 		EventLoss:     c.EventLoss,
 		EventLag:      c.EventLag,
+		ReportLag:     c.ReportLag,
 		CacheStore:    c.CacheStore,
 		Sizes: fpengine.Settings{
 			PrefillTokensPerSecond: c.PrefillRate,
--- a/internal/fpstandin/engine.go
+++ b/internal/fpstandin/engine.go
@@ -41,6 +41,8 @@
 		EventLoss float64
 		// EventLag is how late cache events can be read.
 		EventLag time.Duration
+		// ReportLag is how old load reports are.
+		ReportLag time.Duration
 		// CacheStore is the address that stored blocks are exported to; empty exports none.
 		CacheStore string
 	}
@@ -61,6 +63,12 @@
 		events      eventLog
 		wake        chan struct{}
 		counts      EngineCounts
+		reports     []timedReport
+	}
+
+	timedReport struct {
+		fpupstream.Load
+		at time.Time
 	}
 
 	// EngineCounts tells what the engine did.
@@ -145,7 +153,7 @@
 	m.HandleFunc("POST /v1/chat/completions", e.chat)
 	m.HandleFunc("GET /v1/attempts/{id}", e.resume)
 	m.HandleFunc("DELETE /v1/attempts/{id}", e.cancel)
-	m.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.report()) })
+	m.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.lagging(time.Now())) })
 	m.HandleFunc("GET /v1/events", e.serveEvents)
 	m.HandleFunc("POST /v1/orders", e.order)
 	m.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Counts()) })
@@ -194,6 +202,26 @@
 	}
 }
 
+// lagging returns the newest report that is as old as the settings say; the
+// engine's identity and whether it leaves or loads are never late.
+func (e *Engine) lagging(now time.Time) fpupstream.Load {
+	fresh := e.report()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reports = append(e.reports, timedReport{Load: fresh, at: now})
+	for len(e.reports) > 1 && now.Sub(e.reports[1].at) >= e.settings.ReportLag {
+		e.reports = e.reports[1:]
+	}
+	if now.Sub(e.reports[0].at) < e.settings.ReportLag {
+		fresh.QueuedTokens, fresh.QueuedSoon, fresh.QueuedNow, fresh.Waiting, fresh.Running = 0, 0, 0, 0, 0
+		return fresh
+	}
+	old := e.reports[0].Load
+	fresh.QueuedTokens, fresh.QueuedSoon, fresh.QueuedNow = old.QueuedTokens, old.QueuedSoon, old.QueuedNow
+	fresh.Waiting, fresh.Running = old.Waiting, old.Running
+	return fresh
+}
+
 func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
 	var req fpchat.Request
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPromptBytes)).Decode(&req); err != nil {
--- a/internal/fpstandin/engine_test.go
+++ b/internal/fpstandin/engine_test.go
@@ -70,3 +70,17 @@
 		is.Equal(len(v.Events), want)
 	}
 }
+
+// TestReportLags shows a queue only after the lag, with an engine that is held.
+func TestReportLags(t *testing.T) {
+	is := is.New(t)
+	e := NewEngine(EngineSettings{Name: "a", Model: "m", Weights: "1", ReportLag: time.Second})
+	start := time.Now()
+	is.Equal(e.lagging(start).QueuedTokens, 0)
+	e.Hold(time.Hour)
+	_, status := e.admit("1", "r", "1", fpchat.Request{Model: "m", Messages: []fpchat.Message{{Content: strings.Repeat("x", 4000)}}})
+	is.Equal(status, http.StatusOK)
+	is.Equal(e.lagging(start.Add(500*time.Millisecond)).QueuedTokens, 0)
+	is.Equal(e.lagging(start.Add(1200*time.Millisecond)).QueuedTokens, 0)
+	is.True(e.lagging(start.Add(1600*time.Millisecond)).QueuedTokens > 0)
+}
--- a/scripts/load.sh
+++ b/scripts/load.sh
@@ -13,7 +13,7 @@
   for n in 1 2 3; do
     port=72$z$n
     start "engine-$z$n" "$bin/fescuestandin" engine --address "127.0.0.1:$port" --name "engine-${zones[$z]}$n" \
-      --model tutor --prefill-rate 50000 --cache-blocks 400
+      --model tutor --prefill-rate 50000 --cache-blocks 400 --report-lag 1s
     declared+="{\"Name\": \"engine-${zones[$z]}$n\", \"Kind\": \"Engine\", \"Address\": \"127.0.0.1:$port\", \"AvailabilityZone\": \"${zones[$z]}\", \"Model\": \"tutor\"},"
   done
 done
