A caller that goes away leaves no queue behind

Its tokens counted as waiting at the replica for ever, its pending entry was never freed, and if it was a circuit's probe no other was let through. TestAbandonedLeavesNoQueue failed first (a queue of 0.238 s a minute after five callers had left); TestAbandonedProbe holds the circuit. Router.Abandoned undoes all three, and Failed calls it.

Events that wait together are published once, and the teams are indexed when a configuration comes into force.

Dead since earlier changes, taken out: Candidate.Predicted, Patch.WithBase, the control state's note, which nothing set.

--- a/internal/fpdispatch/chat.go
+++ b/internal/fpdispatch/chat.go
@@ -251,8 +251,9 @@
 	}
 }
 
-// cancelAttempt tells the engine that nobody wants the answer any more.
+// cancelAttempt tells placement and the engine that nobody wants the answer any more.
 func (r *chatRun) cancelAttempt() {
+	r.d.abandoned(r.target)
 	if !r.ledger.Dispatched() {
 		return
 	}
--- a/internal/fpdispatch/place.go
+++ b/internal/fpdispatch/place.go
@@ -111,6 +111,12 @@
 	d.router.FirstToken(t.request, t.candidate, cached, time.Now())
 }
 
+func (d *Dispatcher) abandoned(t target) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.Abandoned(t.request, t.candidate)
+}
+
 func (d *Dispatcher) failed(t target) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/fpdispatch/stream_test.go
+++ b/internal/fpdispatch/stream_test.go
@@ -269,3 +269,27 @@
 		}
 	}
 }
+
+// TestAbandonedLeavesNoQueue has callers go away before the first token; what
+// they had waiting must not count as a queue afterwards.
+func TestAbandonedLeavesNoQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newEngines(t)
+		w.engines[0].Hold(time.Hour)
+		for range 5 {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			w.ask(ctx, &collector{})
+			cancel()
+		}
+		time.Sleep(time.Minute)
+		q := Query{Team: "t", RequestID: "later"}
+		req := fpchat.Request{Model: "tutor", Messages: []fpchat.Message{{Content: "why?"}}}
+		placed, err := w.dispatcher.placeChat(q, req, fpconfig.Model{Name: "tutor", Weights: "1"}, "", nil)
+		is.NoErr(err)
+		for _, c := range placed.decision.Ranked {
+			is.Equal(c.Queue, 0.0)
+		}
+		w.close()
+	})
+}
--- a/internal/fphost/control.go
+++ b/internal/fphost/control.go
@@ -31,9 +31,9 @@
 		roundTrips map[string]time.Duration
 		table      *fpmember.Table
 		replica    fpconfig.Replica
+		teams      map[string]fpconfig.Team
 		loaded     bool
 		draining   bool
-		note       string
 		upstreams  map[string]*upstream
 		told       map[string]time.Time
 		owned      map[string]*fplimit.Allocator
@@ -66,12 +66,15 @@
 	}
 }
 
-// run executes functions until the context ends, and publishes after each.
+// run executes functions until the context ends, and publishes once for those that wait together.
 func (l *loop) run(ctx context.Context, c *control) error {
 	for {
 		select {
 		case f := <-l.events:
 			f(c)
+			for range len(l.events) {
+				(<-l.events)(c)
+			}
 			c.publish()
 		case <-ctx.Done():
 			return nil
@@ -83,6 +86,10 @@
 func (c *control) configured(r fpconfig.Replica) {
 	c.replica = r
 	c.loaded = true
+	c.teams = make(map[string]fpconfig.Team, len(r.Current().Document.Teams))
+	for _, t := range r.Current().Document.Teams {
+		c.teams[t.KeySHA256] = t
+	}
 	declared := make(map[string]bool)
 	for _, u := range r.Current().Document.Upstreams {
 		declared[u.Name] = true
@@ -178,19 +185,13 @@
 	v := c.replica.Current()
 	s := &fpstate.Snapshot{
 		Config:   v,
-		Teams:    make(map[string]fpconfig.Team, len(v.Document.Teams)),
+		Teams:    c.teams,
 		View:     fproute.View{Zone: c.zone, Hosts: max(len(c.table.Living(c.zone)), 1)},
 		Services: make(map[string][]fpstate.Upstream),
 		Members:  c.table.Members(),
 		Ready:    c.loaded,
 		Draining: c.draining,
 	}
-	if c.note != "" {
-		s.Notes = append(s.Notes, c.note)
-	}
-	for _, t := range v.Document.Teams {
-		s.Teams[t.KeySHA256] = t
-	}
 	now := time.Now()
 	for _, d := range v.Document.Upstreams {
 		u := c.stateOf(d, now)
--- a/internal/fphost/status.go
+++ b/internal/fphost/status.go
@@ -29,7 +29,6 @@
 		Draining:         s.Draining,
 		Running:          h.dispatcher.Running(),
 		PlatformCalls:    h.store.Calls(),
-		Notes:            s.Notes,
 	}
 	if n := h.follower.Note(); n != "" {
 		out.Notes = append(out.Notes, n)
--- a/internal/fpstate/snapshot.go
+++ b/internal/fpstate/snapshot.go
@@ -28,7 +28,6 @@
 		Members   []fpmember.Member
 		Ready     bool
 		Draining  bool
-		Notes     []string
 	}
 
 	// Holder publishes snapshots; its zero value holds an empty one.
--- a/pkg/fpconfig/patch.go
+++ b/pkg/fpconfig/patch.go
@@ -62,12 +62,6 @@
 // Version returns the version that the patch leads to.
 func (p Patch) Version() uint64 { return p.Base + 1 }
 
-// WithBase returns the patch with another base version.
-func (p Patch) WithBase(base uint64) Patch {
-	p.Base = base
-	return p
-}
-
 // Apply returns the next version; ErrStale and ErrInvalid leave v as it was.
 func (v Versioned) Apply(p Patch) (Versioned, error) {
 	if p.Base != v.Version {
--- a/pkg/fproute/plan.go
+++ b/pkg/fproute/plan.go
@@ -1,7 +1,6 @@
 package fproute
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -162,12 +161,6 @@
 	return i
 }
 
-// Predicted returns the time to first token that the candidate's figures predict.
-func (c Candidate) Predicted(prefillRate float64) time.Duration {
-	s := c.Queue + c.RoundTrip + c.MissTokens/prefillRate
-	return time.Duration(math.Round(s * float64(time.Second)))
-}
-
 func (c Candidate) reason(v *View) string {
 	switch {
 	case c.Remote:
--- a/pkg/fproute/route_test.go
+++ b/pkg/fproute/route_test.go
@@ -258,3 +258,19 @@
 		k.Stored(fpprefix.Key(i), "r0001", 1, start)
 	}
 }
+
+// TestAbandonedProbe lets the next probe through when nobody waits for the last one.
+func TestAbandonedProbe(t *testing.T) {
+	is := is.New(t)
+	r, q := NewRouter(Settings{}), request("q")
+	c := Candidate{Replica: "r0000", Incarnation: 1}
+	for range circuitFailures {
+		r.Failed(q, c, start)
+	}
+	later := start.Add(circuitOpenFor)
+	is.True(r.allows(c.Replica, later))
+	r.Dispatched(q, c, later)
+	is.True(!r.allows(c.Replica, later))
+	r.Abandoned(q, c)
+	is.True(r.allows(c.Replica, later))
+}
--- a/pkg/fproute/router.go
+++ b/pkg/fproute/router.go
@@ -72,9 +72,18 @@
 
 // Failed records that an attempt at the candidate failed, which says nothing of its caches.
 func (r *Router) Failed(q Request, c Candidate, now time.Time) {
+	r.Abandoned(q, c)
+	r.circuit(c.Replica).failed(now)
+}
+
+// Abandoned records that nobody waits for an attempt any more, which says
+// nothing of its replica.
+func (r *Router) Abandoned(q Request, c Candidate) {
 	delete(r.pending, q.ID)
 	r.load.begin(c.Replica, q.ID)
-	r.circuit(c.Replica).failed(now)
+	if k := r.circuits[c.Replica]; k != nil {
+		k.probing = false
+	}
 }
 
 // Restarted records that a replica came back empty.
