The whole path on the users' platform, thin

Cause: the product ran only against its own stand-ins. Change: platform/fpadapter translates settings, store, headers, reports and orders; internal/fpgateway serves callers from the store's configuration and replica list; pkg/fpcatalog, fpfleet, fpfresh and fpbalance decide. No tests yet; they follow.

--- a/cmd/fescuepointd/main.go
+++ b/cmd/fescuepointd/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/fescuepoint/fescuepoint/internal/fphost"
 	"github.com/fescuepoint/fescuepoint/internal/fpsetting"
+	"github.com/fescuepoint/fescuepoint/platform/fpadapter"
 )
 
 const (
@@ -22,6 +23,7 @@
 type (
 	arguments struct {
 		Settings string `help:"INI file with this host's settings." type:"path" short:"s"`
+		Platform string `help:"JSON settings file of the users' platform, in place of an INI file." type:"path" env:"FESCUEPOINT_CONFIG"`
 		Check    bool   `help:"Check the settings, list every fault and exit."`
 		Document bool   `help:"Print the table of all settings and exit."`
 	}
@@ -34,6 +36,10 @@
 		fmt.Print(fpsetting.Document())
 		return
 	}
+	if a.Settings == "" && a.Platform != "" {
+		runGateway(a.Platform, a.Check)
+		return
+	}
 	s, err := fpsetting.Read(a.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -49,6 +55,23 @@
 	}
 }
 
+// runGateway runs a host on the users' platform, or only checks its settings.
+func runGateway(file string, check bool) {
+	s, err := fpadapter.ReadSettings(file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFault)
+	}
+	if check {
+		fmt.Println("the settings are good")
+		return
+	}
+	if err := serveGateway(s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
 // serve runs the host until a signal asks it to stop; a second signal says
 // what is still running.
 func serve(s fpsetting.Settings) error {
--- /dev/null
+++ b/internal/fpgateway/dispatch.go
@@ -0,0 +1,291 @@
+package fpgateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpconn"
+	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
+	"github.com/fescuepoint/fescuepoint/pkg/fpcatalog"
+)
+
+const (
+	// maxSends bounds the replicas tried for one request, those that did not run it included.
+	maxSends = 6
+	// recentRepeatable is how lately a kept connection must have served for a
+	// request that may run again, recentOnce for one that may not: a kept
+	// connection can be closed by the other side just as it is used.
+	recentRepeatable = 4 * time.Second
+	recentOnce       = time.Second
+	// loadingFor is how long a replica that refuses work while newer weights are
+	// named is believed to be changing to them.
+	loadingFor = 700 * time.Millisecond
+	// maxPlainBytes bounds an answer that is read whole before it is handed on.
+	maxPlainBytes = 8 << 20
+	// patienceFloor, patienceObjectives and patiencePauses are when callers give
+	// up on a silent stream, whichever is longest (users' PROTOCOL).
+	patienceFloor      = 2 * time.Second
+	patienceObjectives = 4
+	patiencePauses     = 8
+)
+
+const (
+	// done ends the request; again asks for another replica.
+	done verdict = iota + 1
+	again
+)
+
+type (
+	verdict int
+)
+
+// dispatch sends the request to replicas until one answers or none may be tried.
+func (q *request) dispatch(ctx context.Context) {
+	g := q.gateway
+	for {
+		if q.sends > 0 {
+			q.state = g.state.Load()
+		}
+		if q.sends >= maxSends || q.runs >= q.route.Attempts {
+			q.refuse("no attempt left", q.retryAfter())
+			return
+		}
+		c, err := q.choose()
+		if err != nil {
+			q.refuse(err.Error(), q.retryAfter())
+			return
+		}
+		if q.sends > 0 && !g.retry(q.service.Name, q.state.hosts) {
+			q.refuse("the retry budget is used up", q.retryAfter())
+			return
+		}
+		q.choice = c
+		if q.attempt(ctx, c) == done {
+			return
+		}
+		if ctx.Err() != nil {
+			q.refuse("out of time", q.retryAfter())
+			return
+		}
+	}
+}
+
+// choose returns the replica for the next attempt.
+func (q *request) choose() (fpbalance.Choice, error) {
+	g := q.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c, err := g.balancer.Choose(q.state.services[q.service.Name], q.want(), q.link(), g.clock())
+	if err == nil {
+		g.balancer.Sent(c, q.want(), g.clock())
+	}
+	return c, err
+}
+
+// want describes the request for the choice.
+func (q *request) want() fpbalance.Request {
+	now := q.gateway.clock()
+	w := fpbalance.Request{
+		ID:        q.caller.ID,
+		Parts:     q.caller.Parts,
+		Output:    q.caller.Output,
+		Salt:      q.salt,
+		Left:      q.ends - now,
+		Objective: q.route.Objective,
+		Exclude:   q.excluded,
+	}
+	if n, ok := q.state.weights[q.caller.Model]; ok {
+		w.Newest, w.NamedFor = n.version, now-n.since
+	}
+	if q.route.Kind == fpcatalog.Stream {
+		patience := max(patienceFloor, patienceObjectives*q.route.Objective, patiencePauses*q.route.Pause)
+		w.Left = min(w.Left, q.arrived+patience-now)
+	}
+	return w
+}
+
+// salt returns the namespace of cached parts: none is shared between versions
+// of the weights, nor with a dedicated team.
+func (q *request) salt(version int64) string {
+	team := ""
+	if q.team != nil && q.team.Dedicated {
+		team = q.team.Name
+	}
+	return fmt.Sprintf("%s/%d/%s", q.caller.Model, version, team)
+}
+
+func (q *request) link() fpbalance.Link {
+	e := q.service.Engine
+	if e == nil {
+		return fpbalance.Link{}
+	}
+	return fpbalance.Link{BytesPerToken: e.BytesPerToken, Megabits: e.LinkMegabits}
+}
+
+// retryAfter returns when a refused caller is likely to find a place.
+func (q *request) retryAfter() time.Duration { return max(q.route.Objective/4, minRetryAfter) }
+
+// attempt sends the request to one replica and relays its answer.
+func (q *request) attempt(ctx context.Context, c fpbalance.Choice) verdict {
+	g := q.gateway
+	sent := g.clock()
+	started := false
+	defer func() {
+		g.mu.Lock()
+		g.balancer.Ended(c, started)
+		g.mu.Unlock()
+	}()
+	onFirst := func() {
+		started = true
+		now := g.clock()
+		if q.first == 0 {
+			q.first = now - q.arrived
+		}
+		g.mu.Lock()
+		g.balancer.Started(c, now-sent, now)
+		g.mu.Unlock()
+	}
+	q.excluded = append(q.excluded, c.Replica.ID)
+	a, err := g.pool.Do(ctx, q.call(c, sent))
+	if err != nil {
+		return q.broken(ctx, c, err)
+	}
+	defer a.Close()
+	q.sends++
+	reply := g.dialect.Reply(a.Status, a.Header)
+	q.learn(c, reply)
+	if reply.NotRun {
+		return q.notRun(c, a, reply)
+	}
+	q.runs++
+	q.ledger.MarkDispatched()
+	if q.route.Kind == fpcatalog.Stream && a.Status == http.StatusOK {
+		return q.relayStream(ctx, c, a, reply, onFirst)
+	}
+	onFirst()
+	return q.relayPlain(ctx, c, a, reply)
+}
+
+// call builds the call of an attempt.
+func (q *request) call(c fpbalance.Choice, now time.Duration) fpconn.Call {
+	a := Attempt{
+		Replica:   c.Replica.ID,
+		Left:      q.ends - now,
+		Source:    c.Source,
+		Rank:      -1,
+		LastEvent: q.caller.LastEvent,
+	}
+	if q.stream.lastEvent != "" {
+		a.LastEvent = q.stream.lastEvent
+	}
+	if q.team != nil {
+		a.Team = q.team.Name
+	}
+	if c.Replica.Engine {
+		a.Salt = q.salt(c.Replica.Version)
+		a.Version = c.Replica.Version
+		a.Rank = q.route.Rank(q.team)
+	}
+	recent := recentOnce
+	if q.route.Repeatable() {
+		recent = recentRepeatable
+	}
+	id := q.caller.ID
+	dialect := q.gateway.dialect
+	return fpconn.Call{
+		Address: c.Replica.Address,
+		Method:  q.http.Method,
+		Target:  q.http.RequestURI,
+		Host:    q.http.Host,
+		Header:  dialect.Header(q.http.Header, a),
+		Body:    q.body,
+		Recent:  recent,
+		Accept: func(h http.Header) bool {
+			got := dialect.Reply(0, h).ID
+			return got == "" || got == id
+		},
+	}
+}
+
+// learn takes in what an answer says of its replica.
+func (q *request) learn(c fpbalance.Choice, r Reply) {
+	g := q.gateway
+	if r.HasLoad {
+		g.mu.Lock()
+		g.balancer.Reported(c.Replica.ID, r.Running, r.Waiting, g.clock())
+		g.mu.Unlock()
+	}
+	if r.Version > c.Replica.Version && !r.NotRun {
+		g.post(func(k *control) { k.saw(c.Replica.ID, r.Version, 0) })
+	}
+}
+
+// notRun handles a replica's word that it did not run the request.
+func (q *request) notRun(c fpbalance.Choice, a *fpconn.Answer, r Reply) verdict {
+	g := q.gateway
+	q.note("%s %d not run", c.Replica.ID, a.Status)
+	if _, err := fpconn.ReadAll(a.Body, maxPlainBytes); err != nil {
+		q.note("%s body: %v", c.Replica.ID, err)
+	}
+	now := g.clock()
+	newest := q.state.weights[q.caller.Model].version
+	switch {
+	case a.Status == http.StatusMisdirectedRequest && r.Replica != "" && r.Replica != c.Replica.ID:
+		g.log("address has another replica", "RequestID", q.caller.ID, "Replica", c.Replica.ID, "Found", r.Replica)
+		g.fail(c.Replica.ID)
+	case a.Status == http.StatusMisdirectedRequest && c.Replica.Engine && newest > c.Replica.Version:
+		// The replica has newer weights than believed: the newest, most likely.
+		g.post(func(k *control) { k.saw(c.Replica.ID, newest, 0) })
+	case c.Replica.Engine && newest > c.Replica.Version:
+		g.post(func(k *control) { k.saw(c.Replica.ID, c.Replica.Version, now+loadingFor) })
+	}
+	return again
+}
+
+// broken handles an attempt without an answer.
+func (q *request) broken(ctx context.Context, c fpbalance.Choice, err error) verdict {
+	g := q.gateway
+	if ctx.Err() == nil {
+		g.fail(c.Replica.ID)
+	}
+	if errors.Is(err, fpconn.ErrNotSent) {
+		q.note("%s not sent: %v", c.Replica.ID, err)
+		if len(q.excluded) > maxSends {
+			q.sends = maxSends
+		}
+		return again
+	}
+	q.sends++
+	q.runs++
+	q.ledger.MarkDispatched()
+	return q.brokenOff(ctx, c, err)
+}
+
+// brokenOff handles an attempt that may have run and gave no whole answer.
+func (q *request) brokenOff(ctx context.Context, c fpbalance.Choice, err error) verdict {
+	q.note("%s broken: %v", c.Replica.ID, err)
+	if ctx.Err() == nil && q.route.Repeatable() && q.runs < q.route.Attempts {
+		return again
+	}
+	reason := "the replica gave no whole answer"
+	if ctx.Err() != nil {
+		reason = "out of time"
+	}
+	q.refuse(reason, 0)
+	return done
+}
+
+func (q *request) note(format string, args ...any) {
+	q.trail = append(q.trail, fmt.Sprintf("%s "+format, append([]any{(q.gateway.clock() - q.arrived).String()}, args...)...))
+}
+
+// fail counts a failure of a replica.
+func (g *Gateway) fail(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.Failed(id, g.clock())
+}
--- /dev/null
+++ b/internal/fpgateway/gateway.go
@@ -0,0 +1,201 @@
+package fpgateway
+
+import (
+	"context"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/oklog/run"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
+	"github.com/fescuepoint/fescuepoint/internal/fpconn"
+	"github.com/fescuepoint/fescuepoint/internal/fplog"
+	"github.com/fescuepoint/fescuepoint/internal/fpmetric"
+	"github.com/fescuepoint/fescuepoint/internal/fpstore"
+	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
+	"github.com/fescuepoint/fescuepoint/pkg/fpfresh"
+	"github.com/fescuepoint/fescuepoint/pkg/fplimit"
+)
+
+const (
+	// memoryShare is the part of a host's memory that the collector aims to stay below.
+	memoryShare = 0.7
+	// tick is the pace at which the picture for traffic is renewed without news.
+	tick = 500 * time.Millisecond
+)
+
+type (
+	// Parts are what a gateway works with.
+	Parts struct {
+		Store   fpstore.Store
+		Dialect Dialect
+		Clock   fpclock.Clock
+		Log     *fplog.Queue
+	}
+
+	// Gateway is one host.
+	Gateway struct {
+		settings Settings
+		store    fpstore.Store
+		dialect  Dialect
+		clock    fpclock.Clock
+		queue    *fplog.Queue
+		logger   log.Logger
+		limited  *lineLimit
+		metrics  *fpmetric.Set
+		pool     *fpconn.Pool
+
+		events   chan func(*control)
+		state    atomic.Pointer[snapshot]
+		proof    atomic.Pointer[fpfresh.Proof]
+		draining atomic.Bool
+		running  atomic.Int64
+		stopped  chan struct{}
+
+		mu       sync.Mutex
+		balancer *fpbalance.Balancer
+		retries  map[string]*fplimit.RetryWindow
+	}
+)
+
+// New returns a host that has not started.
+func New(s Settings, p Parts) *Gateway {
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	}
+	g := &Gateway{
+		settings: s,
+		store:    p.Store,
+		dialect:  p.Dialect,
+		clock:    p.Clock,
+		queue:    p.Log,
+		logger:   p.Log.Logger(),
+		limited:  newLineLimit(),
+		metrics:  fpmetric.New(),
+		events:   make(chan func(*control), 256),
+		stopped:  make(chan struct{}),
+		balancer: fpbalance.New(s.Place),
+		retries:  make(map[string]*fplimit.RetryWindow),
+	}
+	g.pool = fpconn.NewPool(p.Clock, func(string) { g.metrics.Count("upstream_connections", 1) })
+	g.state.Store(&snapshot{})
+	g.proof.Store(&fpfresh.Proof{})
+	return g
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (g *Gateway) Run(ctx context.Context) error {
+	inner, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var r run.Group
+	follower := &fpstore.Follower{Store: g.store, Clock: g.clock, Deliver: g.deliver}
+	rollout := newRollout(g)
+	for _, f := range []func(context.Context) error{
+		g.queue.Run, g.control, follower.Run, g.register, rollout.run, g.readEvents,
+	} {
+		part, stop := context.WithCancel(inner)
+		r.Add(func() error { return f(part) }, func(error) { stop() })
+	}
+	callers := g.newServer(g.settings.Callers, g)
+	servers := []*server{callers, g.newServer(g.settings.Ready, g.readyHandler())}
+	if g.settings.Control != "" {
+		servers = append(servers, g.newServer(g.settings.Control, g.metricsHandler()))
+	}
+	for _, s := range servers {
+		r.Add(s.serve, func(error) { s.close() })
+	}
+	r.Add(func() error { return g.waitForStop(ctx, inner, callers) }, func(error) { close(g.stopped) })
+	g.log("started", "Zone", g.settings.Place.Zone, "Callers", g.settings.Callers, "Store", g.settings.Store)
+	err := r.Run()
+	g.pool.Close()
+	g.queue.Wait()
+	return errors.Wrap(err, "gateway")
+}
+
+// deliver hands the store's news to the control goroutine, and its proof to traffic.
+func (g *Gateway) deliver(u fpstore.Update) {
+	done := make(chan struct{})
+	select {
+	case g.events <- func(c *control) { c.update(u, g.clock()); close(done) }:
+		<-done
+	case <-g.stopped:
+		return
+	}
+	if u.Err != nil {
+		g.metrics.Count("store_errors", 1)
+		return
+	}
+	p := g.proof.Load().With(u.Sent)
+	g.proof.Store(&p)
+}
+
+// control runs the control goroutine.
+func (g *Gateway) control(ctx context.Context) error {
+	c := newControl(g)
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case f := <-g.events:
+			f(c)
+			for range len(g.events) {
+				(<-g.events)(c)
+			}
+		case <-t.C:
+			g.pool.Expire()
+			g.reportDropped()
+		case <-ctx.Done():
+			return nil
+		}
+		g.state.Store(c.snapshot(g.clock(), g.draining.Load()))
+	}
+}
+
+// post hands a function to the control goroutine, unless it is far behind.
+func (g *Gateway) post(f func(*control)) {
+	select {
+	case g.events <- f:
+	default:
+		g.metrics.Count("control_events_dropped", 1)
+	}
+}
+
+func (g *Gateway) proofAge(now time.Duration) string {
+	age, ok := g.proof.Load().Age(now)
+	if !ok {
+		return "none"
+	}
+	return age.Round(time.Millisecond).String()
+}
+
+// ready reports whether this host can serve callers.
+func (g *Gateway) ready() bool {
+	s := g.state.Load()
+	return s.catalog != nil && !g.draining.Load() && g.proof.Load().AllowsKeys(g.settings.Fresh, g.clock())
+}
+
+// retry reports whether the service's budget allows one more send.
+func (g *Gateway) retry(service string, hosts int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.window(service).Take(g.settings.Retry, hosts, g.clock())
+}
+
+func (g *Gateway) count(service string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.window(service).Request(g.settings.Retry, g.clock())
+}
+
+func (g *Gateway) window(service string) *fplimit.RetryWindow {
+	w := g.retries[service]
+	if w == nil {
+		w = &fplimit.RetryWindow{}
+		g.retries[service] = w
+	}
+	return w
+}
--- /dev/null
+++ b/internal/fpgateway/settings.go
@@ -0,0 +1,58 @@
+package fpgateway
+
+import (
+	"time"
+
+	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
+	"github.com/fescuepoint/fescuepoint/pkg/fpfresh"
+	"github.com/fescuepoint/fescuepoint/pkg/fplimit"
+)
+
+const (
+	defaultGrace       = 8 * time.Second
+	defaultOrderLease  = 3 * time.Second
+	defaultRetryWindow = 10 * time.Second
+)
+
+type (
+	// Settings are those of one host; WithDefaults fills what is zero.
+	Settings struct {
+		Host  string
+		Place fpbalance.Place
+		// Zones holds the region of each availability zone.
+		Zones map[string]string
+		// Callers, Ready, Control and Store are addresses; Control serves metrics.
+		Callers string
+		Ready   string
+		Control string
+		Store   string
+		// PeerPort is a port for datagrams between hosts, 0 for none.
+		PeerPort    int
+		MemoryBytes int64
+		Fresh       fpfresh.Bounds
+		Retry       fplimit.RetryRule
+		// Grace is the time between a request to stop and the end of the process.
+		Grace time.Duration
+		// Drain is the time after which a leaving replica must get no new work.
+		Drain time.Duration
+		// OrderLease is the time for which the right to give orders is held.
+		OrderLease time.Duration
+		// LeaseFloor is the shortest lease that the store grants.
+		LeaseFloor time.Duration
+	}
+)
+
+// WithDefaults returns the settings with each zero duration set to its default.
+func (s Settings) WithDefaults() Settings {
+	s.Grace = orDefault(s.Grace, defaultGrace)
+	s.OrderLease = max(orDefault(s.OrderLease, defaultOrderLease), s.LeaseFloor)
+	s.Retry.Window = orDefault(s.Retry.Window, defaultRetryWindow)
+	return s
+}
+
+func orDefault(d, otherwise time.Duration) time.Duration {
+	if d == 0 {
+		return otherwise
+	}
+	return d
+}
--- /dev/null
+++ b/internal/fpgateway/state.go
@@ -0,0 +1,222 @@
+package fpgateway
+
+import (
+	"maps"
+	"time"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpstore"
+	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
+	"github.com/fescuepoint/fescuepoint/pkg/fpcatalog"
+	"github.com/fescuepoint/fescuepoint/pkg/fpfleet"
+)
+
+const (
+	// hostsPrefix holds a key for each living host, bound to its lease.
+	hostsPrefix = "fescuepoint/hosts/"
+	// orderKey is held under a lease by the host that gives orders.
+	orderKey = "fescuepoint/orders"
+)
+
+type (
+	// control is the control goroutine's state: what the store said.
+	control struct {
+		gateway *Gateway
+		catalog *fpcatalog.Catalog
+		fleet   *fpfleet.Fleet
+		born    map[string]int64
+		weights map[string]namedWeights
+		hosts   map[string]bool
+		// learnt holds versions that replicas told of themselves, by replica.
+		learnt map[string]int64
+		// loading holds until when a replica is believed to change its weights.
+		loading map[string]time.Duration
+		away    bool
+		// orderHolder is the host that gives orders, as the store last said.
+		orderHolder string
+	}
+
+	namedWeights struct {
+		version int64
+		since   time.Duration
+	}
+
+	// snapshot is an immutable picture of control for traffic.
+	snapshot struct {
+		catalog  *fpcatalog.Catalog
+		services map[string][]fpbalance.Replica
+		members  []fpfleet.Replica
+		weights  map[string]namedWeights
+		hosts    int
+		draining bool
+		// orderHolder is the host that gives orders; away says that the store can't be reached.
+		orderHolder string
+		away        bool
+	}
+)
+
+func newControl(g *Gateway) *control {
+	return &control{
+		gateway: g,
+		fleet:   fpfleet.New(),
+		born:    make(map[string]int64),
+		weights: make(map[string]namedWeights),
+		hosts:   make(map[string]bool),
+		learnt:  make(map[string]int64),
+		loading: make(map[string]time.Duration),
+	}
+}
+
+// update takes in news of the store.
+func (c *control) update(u fpstore.Update, now time.Duration) {
+	if u.Err != nil {
+		c.lost(u.Err, now)
+		return
+	}
+	c.found(now)
+	var listed []fpfleet.Replica
+	if u.Complete {
+		clear(c.hosts)
+		c.orderHolder = ""
+	}
+	for _, i := range u.Items {
+		c.item(i, now, u.Complete, &listed)
+	}
+	if u.Complete {
+		c.fleet.Reset(listed, now)
+	}
+}
+
+func (c *control) lost(err error, now time.Duration) {
+	if !c.away {
+		c.away = true
+		c.fleet.Away()
+		c.gateway.log("store lost", "Error", err.Error(), "ProofAge", c.gateway.proofAge(now))
+	}
+}
+
+func (c *control) found(now time.Duration) {
+	if c.away {
+		c.away = false
+		c.fleet.Back(now)
+		c.gateway.log("store regained", "ProofAge", c.gateway.proofAge(now))
+	}
+}
+
+func (c *control) item(i fpstore.Item, now time.Duration, complete bool, listed *[]fpfleet.Replica) {
+	if len(i.Key) > len(hostsPrefix) && i.Key[:len(hostsPrefix)] == hostsPrefix {
+		c.hosts[i.Key[len(hostsPrefix):]] = !i.Deleted
+		return
+	}
+	if i.Key == orderKey {
+		c.orderHolder = string(i.Value)
+		c.gateway.log("holder of orders", "Holder", c.orderHolder, "Revision", i.Revision)
+		return
+	}
+	news, err := c.gateway.dialect.News(i)
+	switch {
+	case err != nil:
+		c.gateway.log("entry ignored", "Key", i.Key, "Revision", i.Revision, "Error", err.Error())
+	case news.Catalog != nil:
+		c.configured(news.Catalog, i.Revision)
+	case news.Replica != nil && complete:
+		*listed = append(*listed, *news.Replica)
+		c.replica(news.Replica)
+	case news.Replica != nil:
+		c.replica(news.Replica)
+		c.fleet.Put(*news.Replica)
+	case news.Gone != "":
+		c.gateway.log("replica gone", "Replica", news.Gone, "Revision", i.Revision, "StoreAway", c.away)
+		c.fleet.Remove(news.Gone, i.Revision, now)
+	case news.Weights != nil:
+		c.named(*news.Weights, i.Revision, now)
+	}
+}
+
+// configured puts a configuration in force, unless it is older than the one that is.
+func (c *control) configured(n *fpcatalog.Catalog, revision int64) {
+	if c.catalog != nil && n.Version() <= c.catalog.Version() {
+		return
+	}
+	c.catalog = n
+	c.gateway.log("configuration in force", "ConfigVersion", n.Version(), "Revision", revision)
+}
+
+// replica notes a new start of a replica under the ID of an earlier one.
+func (c *control) replica(r *fpfleet.Replica) {
+	if born, ok := c.born[r.ID]; ok && born != r.Born {
+		delete(c.learnt, r.ID)
+		delete(c.loading, r.ID)
+		c.gateway.forget(*r)
+		c.gateway.log("replica restarted", "Replica", r.ID, "Revision", r.Revision)
+	} else if !ok {
+		c.gateway.log("replica registered", "Replica", r.ID, "Service", r.Service, "Zone", r.Zone, "Revision", r.Revision)
+	}
+	if r.Draining {
+		c.gateway.log("replica draining", "Replica", r.ID, "Revision", r.Revision)
+	}
+	c.born[r.ID] = r.Born
+}
+
+func (c *control) named(w NamedWeights, revision int64, now time.Duration) {
+	if w.Version <= c.weights[w.Model].version {
+		return
+	}
+	c.weights[w.Model] = namedWeights{version: w.Version, since: now}
+	c.gateway.log("weights named", "Model", w.Model, "WeightsVersion", w.Version, "Revision", revision)
+}
+
+// saw takes in the version of weights that a replica told of itself.
+func (c *control) saw(id string, version int64, loading time.Duration) {
+	c.learnt[id] = max(c.learnt[id], version)
+	if loading == 0 {
+		delete(c.loading, id)
+		return
+	}
+	c.loading[id] = loading
+}
+
+// snapshot returns the present picture.
+func (c *control) snapshot(now time.Duration, draining bool) *snapshot {
+	c.fleet.Expire(now)
+	s := &snapshot{
+		catalog:  c.catalog,
+		services: make(map[string][]fpbalance.Replica),
+		members:  c.fleet.Replicas(),
+		weights:  maps.Clone(c.weights),
+		draining: draining,
+
+		orderHolder: c.orderHolder,
+		away:        c.away,
+	}
+	for _, alive := range c.hosts {
+		if alive {
+			s.hosts++
+		}
+	}
+	for _, r := range s.members {
+		if !r.Draining {
+			s.services[r.Service] = append(s.services[r.Service], c.member(r, now))
+		}
+	}
+	return s
+}
+
+func (c *control) member(r fpfleet.Replica, now time.Duration) fpbalance.Replica {
+	m := fpbalance.Replica{
+		ID:      r.ID,
+		Service: r.Service,
+		Address: r.Address,
+		Zone:    r.Zone,
+		Region:  c.gateway.settings.Zones[r.Zone],
+		Slots:   r.Slots,
+		Loading: now < c.loading[r.ID],
+	}
+	for _, v := range r.Weights {
+		m.Engine = true
+		m.Version = max(m.Version, v)
+	}
+	if m.Engine {
+		m.Version = max(m.Version, c.learnt[r.ID])
+	}
+	return m
+}
--- a/internal/fpmetric/metric.go
+++ b/internal/fpmetric/metric.go
@@ -79,3 +79,13 @@
 	s.set.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
 }
+
+// Set sets a figure of the host itself.
+func (s *Set) Set(name string, v float64) {
+	s.set.GetOrCreateGauge("fescuepoint_"+name, nil).Set(v)
+}
+
+// Latency records how long a request of a team and class took to its end.
+func (s *Set) Latency(team, class string, d time.Duration) {
+	s.set.GetOrCreateHistogram(fmt.Sprintf("fescuepoint_request_seconds{team=%q,class=%q}", team, class)).Update(d.Seconds())
+}
--- /dev/null
+++ b/internal/fpstore/follower.go
@@ -0,0 +1,113 @@
+package fpstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
+)
+
+const (
+	// watchWait is how long a watch waits for an event. A waiting watch proves
+	// nothing of the store's present state, so it is short against the time in
+	// which a revoked key must be refused (5 s in the users' bounds).
+	watchWait = 900 * time.Millisecond
+	// watchSlack is what a watch may take beyond its wait before it counts as lost.
+	watchSlack = 700 * time.Millisecond
+	// rangeTimeout bounds the reading of one page.
+	rangeTimeout = 2 * time.Second
+	// gather is the pause after a batch of events, so that changes in quick
+	// succession cost one call and not one each.
+	gather = 150 * time.Millisecond
+	// firstBackoff and lastBackoff bound the pause after a failed call.
+	firstBackoff = 50 * time.Millisecond
+	lastBackoff  = 500 * time.Millisecond
+)
+
+type (
+	// Update is news of the store: a complete list or the latest changes, and when
+	// the call that brought them was sent. Err is set when the store gave no answer.
+	Update struct {
+		Items    []Item
+		Complete bool
+		Revision int64
+		Sent     time.Duration
+		Err      error
+	}
+
+	// Follower keeps its owner informed of all keys under a prefix.
+	Follower struct {
+		Store  Store
+		Prefix string
+		Clock  fpclock.Clock
+		// Deliver is called from Run with each update, in order.
+		Deliver func(Update)
+	}
+)
+
+// Run reads the range once and then watches it, until the context ends. The
+// range is read anew when the store has dropped the history in between.
+func (f *Follower) Run(ctx context.Context) error {
+	after := int64(-1)
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		u := f.next(ctx, after)
+		if ctx.Err() != nil {
+			return nil
+		}
+		f.Deliver(u)
+		switch {
+		case errors.Is(u.Err, ErrCompacted):
+			after = -1
+		case u.Err != nil:
+			if !fpclock.Sleep(ctx, backoff) {
+				return nil
+			}
+			backoff = min(2*backoff, lastBackoff)
+			continue
+		default:
+			after = u.Revision
+		}
+		backoff = firstBackoff
+		if len(u.Items) > 0 && !u.Complete && !fpclock.Sleep(ctx, gather) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// next returns the next update after a revision; -1 asks for everything.
+func (f *Follower) next(ctx context.Context, after int64) Update {
+	if after < 0 {
+		return f.list(ctx)
+	}
+	sent := f.Clock()
+	watchCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	items, revision, err := f.Store.Watch(watchCtx, f.Prefix, after, watchWait)
+	return Update{Items: items, Revision: max(revision, after), Sent: sent, Err: err}
+}
+
+// list reads all pages. The revision is that of the first, since pages are no snapshot.
+func (f *Follower) list(ctx context.Context) Update {
+	u := Update{Complete: true, Sent: f.Clock()}
+	last := ""
+	for first := true; ; first = false {
+		pageCtx, cancel := context.WithTimeout(ctx, rangeTimeout)
+		p, err := f.Store.Range(pageCtx, f.Prefix, last)
+		cancel()
+		if err != nil {
+			return Update{Err: err}
+		}
+		if first {
+			u.Revision = p.Revision
+		}
+		u.Items = append(u.Items, p.Items...)
+		if !p.More || len(p.Items) == 0 {
+			return u
+		}
+		last = p.Items[len(p.Items)-1].Key
+	}
+}
--- /dev/null
+++ b/pkg/fpbalance/balancer.go
@@ -0,0 +1,259 @@
+package fpbalance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fescuepoint/fescuepoint/pkg/fproute"
+)
+
+const (
+	// prefillRate is the prompt tokens that an engine reads a second, the lower of
+	// the users' two figures (112 and 157 tokens a millisecond).
+	prefillRate = 112_000
+	// stepSeconds is the time between two tokens that running work adds to a new
+	// request's first one (the users' engines: 3.4 ms a step and 0.1 ms a request).
+	runningSeconds = 0.006
+	// plainSeconds is the work of a plain request (15 to 30 ms in the users' tables).
+	plainSeconds = 0.025
+	// Round trips by distance, from the users' places.
+	zoneSeconds   = 0.0005
+	regionSeconds = 0.004
+	remoteSeconds = 0.062
+	// remoteBytesSeconds is what the bytes of a request to another region cost
+	// beside the time.
+	remoteBytesSeconds = 0.02
+	// recomputeWeight is what a computed token costs others that wait behind it.
+	recomputeWeight = 1.5
+	// homeCredit is the part of a prompt that the home of its first part is
+	// believed to hold without evidence, so that all hosts choose alike.
+	homeCredit = 0.5
+	// staleAfter is the age of a newer version from which answers on older weights lose worth.
+	staleAfter = 1200 * time.Millisecond
+	// staleSeconds is what an answer on older weights costs, in seconds of waiting.
+	staleSeconds = 0.25
+	// zoneFactor and regionFactor lengthen the move of cached tokens.
+	zoneFactor   = 2
+	regionFactor = 10
+	// moveLimit is the longest move that is worth starting.
+	moveLimit = 0.3
+	// minCopyTokens is the least number of tokens that is worth a move.
+	minCopyTokens = 1024
+)
+
+type (
+	// Balancer is one host's state; it is not safe for concurrent use.
+	Balancer struct {
+		place     Place
+		directory *Directory
+		loads     map[string]*load
+	}
+)
+
+// New returns the balancer of a host at a place.
+func New(place Place) *Balancer {
+	return &Balancer{place: place, directory: NewDirectory(), loads: make(map[string]*load)}
+}
+
+// Directory returns what is believed cached where, for events to correct.
+func (b *Balancer) Directory() *Directory { return b.directory }
+
+// Choose returns the replica to send a request to.
+func (b *Balancer) Choose(replicas []Replica, q Request, link Link, now time.Duration) (Choice, error) {
+	home := b.home(replicas, q)
+	best := Choice{Score: -1}
+	for _, r := range replicas {
+		if r.Loading || slices.Contains(q.Exclude, r.ID) || !b.load(r.ID).circuit.Allows(time.Unix(0, int64(now))) {
+			continue
+		}
+		c := b.predict(replicas, r, q, link, r.ID == home, now)
+		if best.Score < 0 || c.Score < best.Score {
+			best = c
+		}
+	}
+	switch {
+	case best.Score < 0:
+		return best, ErrNoReplica
+	case best.Wait > q.Left:
+		return best, ErrLate
+	}
+	return best, nil
+}
+
+// home returns the replica that all hosts choose for a prompt's first part
+// without knowledge: the one with the highest rendezvous hash.
+func (b *Balancer) home(replicas []Replica, q Request) string {
+	if len(q.Parts) < 2 || q.Parts[0].Tokens < minCopyTokens {
+		return ""
+	}
+	names := make([]string, 0, len(replicas))
+	for _, r := range replicas {
+		names = append(names, r.ID)
+	}
+	i := fproute.Owner(q.Parts[0].ID, names)
+	if i < 0 {
+		return ""
+	}
+	return names[i]
+}
+
+func (b *Balancer) predict(replicas []Replica, r Replica, q Request, link Link, home bool, now time.Duration) Choice {
+	c := Choice{Replica: r}
+	l := b.load(r.ID)
+	seconds := b.distance(r) + l.lag(now)
+	if !r.Engine {
+		over := l.work(now) + 1 - float64(max(r.Slots, 1))
+		seconds += plainSeconds + max(over, 0)*plainSeconds/float64(max(r.Slots, 1))
+		return c.with(seconds, b.remoteCost(r))
+	}
+	total := 0
+	for _, p := range q.Parts {
+		total += p.Tokens
+	}
+	salt := q.Salt(r.Version)
+	c.Hit = b.directory.Leading(r.ID, salt, q.Parts, now)
+	move := 0.0
+	if total-c.Hit >= minCopyTokens {
+		c.Source, c.Copied, move = b.source(replicas, r, q, salt, c.Hit, link, now)
+	}
+	c.Miss = total - c.Hit - c.Copied
+	credit := 0.0
+	if home && c.Hit == 0 && c.Copied == 0 {
+		credit = homeCredit * float64(c.Miss) / prefillRate
+	}
+	compute := float64(c.Miss) / prefillRate
+	seconds += move + compute + float64(l.unstarted)/prefillRate + l.work(now)*runningSeconds
+	cost := b.remoteCost(r) + compute*recomputeWeight + move - credit
+	if q.Newest > r.Version && q.NamedFor > staleAfter {
+		cost += staleSeconds
+	}
+	return c.with(seconds, max(cost, 0))
+}
+
+func (c Choice) with(seconds, cost float64) Choice {
+	c.Wait = time.Duration(seconds * float64(time.Second))
+	c.Score = seconds + cost
+	return c
+}
+
+// source returns the replica of the same weights that holds most of the prompt
+// beyond what the chosen one holds, and the time to move it.
+func (b *Balancer) source(replicas []Replica, to Replica, q Request, salt string, hit int, link Link, now time.Duration) (string, int, float64) {
+	address, tokens, seconds := "", 0, 0.0
+	if link.Megabits <= 0 {
+		return address, tokens, seconds
+	}
+	for _, r := range replicas {
+		if r.ID == to.ID || r.Version != to.Version || r.Loading {
+			continue
+		}
+		more := b.directory.Leading(r.ID, salt, q.Parts, now) - hit
+		if more < minCopyTokens {
+			continue
+		}
+		move := float64(more*link.BytesPerToken*8) / (link.Megabits * 1e6) * factor(r, to)
+		better := more > tokens || more == tokens && move < seconds
+		if move < moveLimit && move < float64(more)/prefillRate && better {
+			address, tokens, seconds = r.Address, more, move
+		}
+	}
+	return address, tokens, seconds
+}
+
+func factor(a, b Replica) float64 {
+	switch {
+	case a.Zone == b.Zone:
+		return 1
+	case a.Region == b.Region:
+		return zoneFactor
+	default:
+		return regionFactor
+	}
+}
+
+func (b *Balancer) distance(r Replica) float64 {
+	switch {
+	case r.Zone == b.place.Zone:
+		return zoneSeconds
+	case r.Region == b.place.Region:
+		return regionSeconds
+	default:
+		return remoteSeconds
+	}
+}
+
+func (b *Balancer) remoteCost(r Replica) float64 {
+	if r.Region == b.place.Region {
+		return 0
+	}
+	return remoteBytesSeconds
+}
+
+func (b *Balancer) load(id string) *load {
+	l := b.loads[id]
+	if l == nil {
+		l = &load{}
+		b.loads[id] = l
+	}
+	return l
+}
+
+// Sent records that a request was sent to the chosen replica.
+func (b *Balancer) Sent(c Choice, q Request, now time.Duration) {
+	l := b.load(c.Replica.ID)
+	l.unstarted += c.Miss
+	l.running++
+	l.sentSince++
+	l.circuit.Dispatched()
+	if !c.Replica.Engine {
+		return
+	}
+	salt := q.Salt(c.Replica.Version)
+	for _, p := range q.Parts {
+		if p.Tokens >= minCopyTokens/8 {
+			b.directory.Stored(c.Replica.ID, salt, p.ID, p.Tokens, false, now)
+		}
+	}
+}
+
+// Started records the first byte of an answer, after a wait.
+func (b *Balancer) Started(c Choice, waited time.Duration, now time.Duration) {
+	l := b.load(c.Replica.ID)
+	l.unstarted = max(l.unstarted-c.Miss, 0)
+	l.circuit = fproute.Circuit{}
+	l.observe((waited - c.Wait).Seconds(), now)
+}
+
+// Ended records the end of a request; started says whether Started was called.
+func (b *Balancer) Ended(c Choice, started bool) {
+	l := b.load(c.Replica.ID)
+	l.running = max(l.running-1, 0)
+	if !started {
+		l.unstarted = max(l.unstarted-c.Miss, 0)
+	}
+}
+
+// Failed records that a replica broke a request or could not be reached.
+func (b *Balancer) Failed(id string, now time.Duration) {
+	b.load(id).circuit.Failed(time.Unix(0, int64(now)))
+}
+
+// Reported records a replica's own word of its running and waiting requests.
+func (b *Balancer) Reported(id string, running, waiting int, now time.Duration) {
+	l := b.load(id)
+	l.reported, l.waiting, l.at, l.sentSince = running, waiting, now, 0
+}
+
+// Forget drops what is known of a replica that is gone or started anew.
+func (b *Balancer) Forget(id string) {
+	delete(b.loads, id)
+	b.directory.Forget(id)
+}
+
+// Work returns the number of requests believed to be at a replica.
+func (b *Balancer) Work(id string, now time.Duration) float64 { return b.load(id).work(now) }
+
+// Reachable reports whether a replica may be tried: its last requests did not all fail.
+func (b *Balancer) Reachable(id string, now time.Duration) bool {
+	return b.load(id).circuit.Allows(time.Unix(0, int64(now)))
+}
--- /dev/null
+++ b/pkg/fpbalance/load.go
@@ -0,0 +1,62 @@
+package fpbalance
+
+import (
+	"time"
+
+	"github.com/fescuepoint/fescuepoint/pkg/fproute"
+)
+
+const (
+	// reportDecay is the time after which a load report says nothing any more.
+	reportDecay = time.Second
+	// delayDecay is the time in which an observed delay loses its weight.
+	delayDecay = 700 * time.Millisecond
+	// delayGain is the weight of the newest observation.
+	delayGain = 0.3
+)
+
+type (
+	// load is what a host knows of the work at one replica.
+	load struct {
+		// unstarted holds the prompt tokens of own requests without a first byte.
+		unstarted int
+		running   int
+		// reported work of all hosts, and own requests sent since.
+		reported  int
+		waiting   int
+		sentSince int
+		at        time.Duration
+		// delay is the average of observed beyond predicted waits.
+		delay   float64
+		delayAt time.Duration
+		circuit fproute.Circuit
+		failed  bool
+	}
+)
+
+// work returns the number of requests believed to be at the replica.
+func (l *load) work(now time.Duration) float64 {
+	age := now - l.at
+	if l.at == 0 || age > reportDecay {
+		return float64(l.running)
+	}
+	fresh := 1 - float64(age)/float64(reportDecay)
+	return max(float64(l.running), float64(l.reported+l.waiting)*fresh+float64(l.sentSince))
+}
+
+// lag returns the remembered delay, which loses weight with time.
+func (l *load) lag(now time.Duration) float64 {
+	if l.delay <= 0 {
+		return 0
+	}
+	age := now - l.delayAt
+	if age >= 3*delayDecay {
+		return 0
+	}
+	return l.delay * (1 - float64(age)/float64(3*delayDecay))
+}
+
+func (l *load) observe(beyond float64, now time.Duration) {
+	l.delay = l.lag(now)*(1-delayGain) + max(beyond, 0)*delayGain
+	l.delayAt = now
+}
--- /dev/null
+++ b/pkg/fpbalance/types.go
@@ -0,0 +1,82 @@
+package fpbalance
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+var (
+	// ErrNoReplica is returned when no replica of the service may be used.
+	ErrNoReplica = errors.New("no replica of the service may be used")
+	// ErrLate is returned when no replica would answer in the time that is left.
+	ErrLate = errors.New("no replica would answer in the time that is left")
+)
+
+type (
+	// Part is a piece of a prompt that other prompts may share.
+	Part struct {
+		ID     string
+		Tokens int
+	}
+
+	// Replica is what a host believes of one replica of a service.
+	Replica struct {
+		ID      string
+		Service string
+		Address string
+		Zone    string
+		Region  string
+		Slots   int
+		// Version is the version of the weights, 0 for a plain service.
+		Version int64
+		// Loading replicas take no new work until their weights are in place.
+		Loading bool
+		// Engine replicas read prompts; others do plain work.
+		Engine bool
+	}
+
+	// Link says what moving cached tokens between replicas costs.
+	Link struct {
+		BytesPerToken int
+		Megabits      float64
+	}
+
+	// Place is where a host stands.
+	Place struct {
+		Zone   string
+		Region string
+	}
+
+	// Request is what the choice needs to know of a request.
+	Request struct {
+		ID     string
+		Parts  []Part
+		Output int
+		// Salts returns the namespace of cached parts for a version of the weights.
+		Salt func(version int64) string
+		// Newest is the newest version named for the model, and NamedFor how long it has been.
+		Newest   int64
+		NamedFor time.Duration
+		// Left is the time until the answer's deadline.
+		Left time.Duration
+		// Objective is the time within which the first token is worth most.
+		Objective time.Duration
+		// Exclude lists replicas that were tried already.
+		Exclude []string
+	}
+
+	// Choice is the replica that a request goes to, with the figures that decided.
+	Choice struct {
+		Replica Replica
+		// Hit is the number of prompt tokens believed cached, Copied those that
+		// Source holds and the replica lacks, Miss those to be computed.
+		Hit    int
+		Copied int
+		Miss   int
+		Source string
+		// Wait is the predicted time to the first byte of the answer.
+		Wait  time.Duration
+		Score float64
+	}
+)
--- /dev/null
+++ b/pkg/fpcatalog/catalog.go
@@ -0,0 +1,107 @@
+package fpcatalog
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// New returns the catalog of a document.
+func New(d Document) *Catalog {
+	c := &Catalog{
+		document: d,
+		hosts:    make(map[string][]*Route),
+		keys:     make(map[string]*Team),
+		services: make(map[string]*Service),
+	}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		host := strings.ToLower(r.Host)
+		c.hosts[host] = append(c.hosts[host], r)
+	}
+	for _, routes := range c.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range d.Teams {
+		for _, k := range d.Teams[i].Keys {
+			c.keys[k] = &d.Teams[i]
+		}
+	}
+	for i := range d.Services {
+		c.services[d.Services[i].Name] = &d.Services[i]
+	}
+	return c
+}
+
+// Version returns the document's version.
+func (c *Catalog) Version() uint64 { return c.document.Version }
+
+// Limits returns the bounds on what callers may send.
+func (c *Catalog) Limits() Limits { return c.document.Limits }
+
+// Services returns all services.
+func (c *Catalog) Services() []Service { return c.document.Services }
+
+// Route returns the route of a host with the longest prefix of path, or nil.
+func (c *Catalog) Route(host, path string) *Route {
+	for _, r := range c.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Team returns the team that holds a key, or nil.
+func (c *Catalog) Team(key string) *Team { return c.keys[key] }
+
+// Keyed reports whether requests need a key, unless their route is public.
+func (c *Catalog) Keyed() bool { return len(c.document.Teams) > 0 }
+
+// Service returns the service of that name, or nil.
+func (c *Catalog) Service(name string) *Service { return c.services[name] }
+
+// CacheStores returns the services that keep KV cache.
+func (c *Catalog) CacheStores() []*Service {
+	var out []*Service
+	for i := range c.document.Services {
+		if c.document.Services[i].Cache != nil {
+			out = append(out, &c.document.Services[i])
+		}
+	}
+	return out
+}
+
+// Pick returns the service that a request goes to: the same for the same ID,
+// in proportion to the targets' weights.
+func (r *Route) Pick(id string) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	if total <= 0 {
+		if len(r.Targets) == 0 {
+			return ""
+		}
+		return r.Targets[0].Service
+	}
+	at := int(xxhash.Sum64String(id) % uint64(total))
+	for _, t := range r.Targets {
+		if at -= t.Weight; at < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[0].Service
+}
+
+// Repeatable reports whether a request may run again after it may have run.
+func (r *Route) Repeatable() bool { return r.Kind == Idempotent || r.Kind == Stream && r.Resumable }
+
+// Rank returns the priority of a team's request: the team's, or else the route's.
+func (r *Route) Rank(t *Team) int {
+	if t != nil && t.Priority != nil {
+		return *t.Priority
+	}
+	return r.Priority
+}
--- a/pkg/fporder/order.go
+++ b/pkg/fporder/order.go
@@ -43,6 +43,8 @@
 
 	// Planner remembers orders that reports don't show yet. It is not safe for concurrent use.
 	Planner struct {
+		// AtOnce is the number of replicas that may load at once; zero means MaxLoading.
+		AtOnce  int
 		pending map[string]time.Duration
 	}
 )
@@ -52,8 +54,12 @@
 
 // MayOrder reports whether the holder may send an order now: it has waited out
 // its predecessor, and the order's deadline falls within the lease.
-func (l Lease) MayOrder(now time.Duration) bool {
-	return l.Fencing > 0 && now-l.Acquired >= Settle && now+Deadline < l.Until
+func (l Lease) MayOrder(now time.Duration) bool { return l.MayOrderWithin(now, Settle, Deadline) }
+
+// MayOrderWithin is MayOrder for upstreams with other times: settle is how long a
+// new holder waits, deadline how long its order may be under way.
+func (l Lease) MayOrderWithin(now, settle, deadline time.Duration) bool {
+	return l.Fencing > 0 && now-l.Acquired >= settle && now+deadline < l.Until
 }
 
 // Next returns the replicas to order to their wanted weights now, at most as
@@ -70,7 +76,7 @@
 	}
 	var out []Replica
 	for _, r := range replicas {
-		if loading >= MaxLoading {
+		if loading >= p.atOnce() {
 			break
 		}
 		if !r.Reachable || r.Loading || r.Leaving || r.Weights == r.Wanted || p.isPending(r.Name, now) {
@@ -118,6 +124,13 @@
 	return n
 }
 
+func (p *Planner) atOnce() int {
+	if p.AtOnce > 0 {
+		return p.AtOnce
+	}
+	return MaxLoading
+}
+
 func (p *Planner) isPending(name string, now time.Duration) bool {
 	at, ok := p.pending[name]
 	return ok && now-at < pendingFor
--- a/pkg/fproute/circuit.go
+++ b/pkg/fproute/circuit.go
@@ -15,8 +15,8 @@
 )
 
 type (
-	// circuit keeps work from a failing replica and lets single probes through.
-	circuit struct {
+	// Circuit keeps work from a failing replica and lets single probes through; its zero value is closed.
+	Circuit struct {
 		failures int
 		openTill time.Time
 		openFor  time.Duration
@@ -29,21 +29,23 @@
 	}
 )
 
-// allows reports whether the replica may get work; half-open, it gets one probe at a time.
-func (c *circuit) allows(now time.Time) bool {
+// Allows reports whether the replica may get work; half-open, it gets one probe at a time.
+func (c *Circuit) Allows(now time.Time) bool {
 	if c.failures < circuitFailures {
 		return true
 	}
 	return !now.Before(c.openTill) && !c.probing
 }
 
-func (c *circuit) dispatched() {
+// Dispatched records that work was sent; half-open, it is the probe.
+func (c *Circuit) Dispatched() {
 	if c.failures >= circuitFailures {
 		c.probing = true
 	}
 }
 
-func (c *circuit) failed(now time.Time) {
+// Failed records a failure; several in a row open the circuit.
+func (c *Circuit) Failed(now time.Time) {
 	c.failures++
 	c.probing = false
 	if c.failures < circuitFailures {
--- a/pkg/fproute/route_test.go
+++ b/pkg/fproute/route_test.go
@@ -171,19 +171,19 @@
 // TestCircuit opens after failures, probes once and closes on success.
 func TestCircuit(t *testing.T) {
 	is := is.New(t)
-	c := &circuit{}
+	c := &Circuit{}
 	for range circuitFailures {
-		is.True(c.allows(start))
-		c.failed(start)
+		is.True(c.Allows(start))
+		c.Failed(start)
 	}
-	is.True(!c.allows(start))
+	is.True(!c.Allows(start))
 	later := start.Add(circuitOpenFor)
-	is.True(c.allows(later))
-	c.dispatched()
-	is.True(!c.allows(later))
-	c.failed(later)
-	is.True(!c.allows(later.Add(circuitOpenFor)))
-	is.True(c.allows(later.Add(2 * circuitOpenFor)))
+	is.True(c.Allows(later))
+	c.Dispatched()
+	is.True(!c.Allows(later))
+	c.Failed(later)
+	is.True(!c.Allows(later.Add(circuitOpenFor)))
+	is.True(c.Allows(later.Add(2 * circuitOpenFor)))
 }
 
 // TestRetryBudget holds retries to a tenth of requests after a first burst.
--- a/pkg/fproute/router.go
+++ b/pkg/fproute/router.go
@@ -14,7 +14,7 @@
 		knowledge *Knowledge
 		demand    *demand
 		load      *loadBook
-		circuits  map[string]*circuit
+		circuits  map[string]*Circuit
 		budget    RetryBudget
 		pending   map[string]pending
 	}
@@ -35,7 +35,7 @@
 		knowledge: NewKnowledge(s.KnowledgeKeys),
 		demand:    newDemand(s.KnowledgeKeys),
 		load:      newLoadBook(),
-		circuits:  make(map[string]*circuit),
+		circuits:  make(map[string]*Circuit),
 		pending:   make(map[string]pending),
 	}
 }
@@ -50,7 +50,7 @@
 func (r *Router) Dispatched(q Request, c Candidate, now time.Time) {
 	r.load.sent(c.Replica, q, c.MissTokens, now)
 	if k := r.circuits[c.Replica]; k != nil {
-		k.dispatched()
+		k.Dispatched()
 	}
 	r.pending[q.ID] = pending{replica: c.Replica, seen: r.knowledge.Seen(q.Prompt, c.Replica, c.Incarnation), at: now}
 	for _, l := range q.Prompt.Levels {
@@ -73,7 +73,7 @@
 // Failed records that an attempt at the candidate failed, which says nothing of its caches.
 func (r *Router) Failed(q Request, c Candidate, now time.Time) {
 	r.Abandoned(q, c)
-	r.circuit(c.Replica).failed(now)
+	r.circuit(c.Replica).Failed(now)
 }
 
 // Abandoned records that nobody waits for an attempt any more, which says
@@ -93,10 +93,10 @@
 	delete(r.circuits, replica)
 }
 
-func (r *Router) circuit(replica string) *circuit {
+func (r *Router) circuit(replica string) *Circuit {
 	c := r.circuits[replica]
 	if c == nil {
-		c = &circuit{}
+		c = &Circuit{}
 		r.circuits[replica] = c
 	}
 	return c
@@ -108,7 +108,7 @@
 		return true
 	}
 	c := r.circuits[replica]
-	return c == nil || c.allows(now)
+	return c == nil || c.Allows(now)
 }
 
 // want records the request's demand on each level and returns nothing; the
