Hosts tell each other of work and of weights in datagrams

Change: notices of computed work and of weights; oldest weights are replaced first and none older than the bound are used; rank by team, then route.

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -98,8 +98,9 @@
 		Objective: q.route.Objective,
 		Exclude:   q.excluded,
 	}
-	if n, ok := q.state.weights[q.caller.Model]; ok {
+	if n := q.state.newest(q.caller.Model); n.version > 0 {
 		w.Newest, w.NamedFor = n.version, now-n.since
+		w.Oldest = q.state.oldest(q.caller.Model, q.gateway.settings.OldWeights, now)
 	}
 	if q.route.Kind == fpcatalog.Stream {
 		patience := max(patienceFloor, patienceObjectives*q.route.Objective, patiencePauses*q.route.Pause)
@@ -138,6 +139,9 @@
 		g.mu.Lock()
 		g.balancer.Ended(c, started)
 		g.mu.Unlock()
+		if !started {
+			q.tellWork(c, true)
+		}
 	}()
 	onFirst := func() {
 		started = true
@@ -148,8 +152,10 @@
 		g.mu.Lock()
 		g.balancer.Started(c, now-sent, now)
 		g.mu.Unlock()
+		q.tellWork(c, true)
 	}
 	q.excluded = append(q.excluded, c.Replica.ID)
+	q.tellWork(c, false)
 	a, err := g.pool.Do(ctx, q.call(c, sent))
 	if err != nil {
 		return q.broken(ctx, c, err)
@@ -232,7 +238,7 @@
 		q.note("%s body: %v", c.Replica.ID, err)
 	}
 	now := g.clock()
-	newest := q.state.weights[q.caller.Model].version
+	newest := q.state.newest(q.caller.Model).version
 	switch {
 	case a.Status == http.StatusMisdirectedRequest && r.Replica != "" && r.Replica != c.Replica.ID:
 		g.log("address has another replica", "RequestID", q.caller.ID, "Replica", c.Replica.ID, "Found", r.Replica)
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/internal/fplog"
 	"github.com/fescuepoint/fescuepoint/internal/fpmetric"
+	"github.com/fescuepoint/fescuepoint/internal/fpnotice"
 	"github.com/fescuepoint/fescuepoint/internal/fpstore"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
 	"github.com/fescuepoint/fescuepoint/pkg/fpfresh"
@@ -55,6 +56,7 @@
 		draining atomic.Bool
 		running  atomic.Int64
 		stopped  chan struct{}
+		notices  *fpnotice.Socket
 
 		mu       sync.Mutex
 		balancer *fpbalance.Balancer
@@ -91,11 +93,12 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	inner, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	g.openPeers()
 	var r run.Group
 	follower := &fpstore.Follower{Store: g.store, Clock: g.clock, Deliver: g.deliver}
 	rollout := newRollout(g)
 	for _, f := range []func(context.Context) error{
-		g.queue.Run, g.control, follower.Run, g.register, rollout.run, g.readEvents,
+		g.queue.Run, g.control, follower.Run, g.register, rollout.run, g.readEvents, g.receiveNotices,
 	} {
 		part, stop := context.WithCancel(inner)
 		r.Add(func() error { return f(part) }, func(error) { stop() })
--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -51,10 +51,10 @@
 		choice   fpbalance.Choice
 		stream   streamState
 		// spare is a failure that a replica answered, for when no other answer comes.
-		spare *spareAnswer
-		status   int
-		reason   string
-		first    time.Duration
+		spare  *spareAnswer
+		status int
+		reason string
+		first  time.Duration
 	}
 
 	// denial is an answer of this host's own that is not about load.
--- a/internal/fpgateway/rollout.go
+++ b/internal/fpgateway/rollout.go
@@ -168,8 +168,8 @@
 	g := r.gateway
 	s := g.state.Load()
 	now := g.clock()
-	for model, named := range s.weights {
-		members, jobs := r.members(s, model, named.version)
+	for model := range s.weights {
+		members, jobs := r.members(s, model, s.newest(model).version)
 		r.planner.AtOnce = max(minAtOnce, len(members)/loadShare)
 		for _, m := range r.planner.Next(members, now) {
 			r.mu.Lock()
@@ -182,7 +182,7 @@
 
 // members lists a model's replicas for the planner, those with the least work
 // first and zones in turn.
-func (r *rollout) members(s *snapshot, model string, version int64) ([]fporder.Replica, map[string]loadJob) {
+func (r *rollout) members(s *snapshot, model string, wanted int64) ([]fporder.Replica, map[string]loadJob) {
 	g := r.gateway
 	known := make(map[string]int64)
 	for _, list := range s.services {
@@ -193,26 +193,31 @@
 	jobs := make(map[string]loadJob)
 	var members []fporder.Replica
 	work := make(map[string]float64)
+	version := make(map[string]int64)
 	g.mu.Lock()
 	for _, f := range s.members {
 		if _, ok := f.Weights[model]; !ok {
 			continue
 		}
 		work[f.ID] = g.balancer.Work(f.ID, g.clock())
+		version[f.ID] = max(known[f.ID], f.Weights[model])
 		r.mu.Lock()
 		loading := r.active[f.ID]
 		r.mu.Unlock()
 		members = append(members, fporder.Replica{
 			Name: f.ID, Zone: f.Zone, Model: model,
-			Weights: strconv.FormatInt(max(known[f.ID], f.Weights[model]), 10),
-			Wanted:  strconv.FormatInt(version, 10),
+			Weights: strconv.FormatInt(version[f.ID], 10),
+			Wanted:  strconv.FormatInt(wanted, 10),
 			Loading: loading, Leaving: f.Draining, Reachable: g.balancer.Reachable(f.ID, g.clock()),
 		})
-		jobs[f.ID] = loadJob{replica: f, model: model, version: version}
+		jobs[f.ID] = loadJob{replica: f, model: model, version: wanted}
 	}
 	g.mu.Unlock()
 	slices.SortStableFunc(members, func(a, b fporder.Replica) int { return cmp.Compare(work[a.Name], work[b.Name]) })
-	return inTurn(members), jobs
+	members = inTurn(members)
+	// The oldest weights go first: they are the first that may no longer be used.
+	slices.SortStableFunc(members, func(a, b fporder.Replica) int { return cmp.Compare(version[a.Name], version[b.Name]) })
+	return members, jobs
 }
 
 // inTurn orders members so that zones take turns, and keeps the order within a zone.
@@ -250,11 +255,11 @@
 			g.fail(id)
 			return
 		case rep.Versions[j.model] >= j.version:
-			g.post(func(c *control) { c.saw(id, rep.Versions[j.model], 0) })
+			g.tellWeights(id, rep.Versions[j.model], 0)
 			g.log("weights in place", "Replica", id, "WeightsVersion", rep.Versions[j.model], "Took", (now - started).String())
 			return
 		case rep.Busy:
-			g.post(func(c *control) { c.saw(id, rep.Versions[j.model], now+2*watchLoading+orderTimeout) })
+			g.tellWeights(id, rep.Versions[j.model], watchLoading+orderTimeout)
 		case now-ordered >= reorderAfter:
 			ordered = now
 			if !r.order(ctx, j, rep) {
@@ -292,7 +297,7 @@
 		Replica: id, Model: j.model, Version: j.version, Mode: KeepRuns,
 		Holder: g.settings.Host, Fence: lease.Fencing, Orders: rep.Orders,
 	}
-	g.post(func(c *control) { c.saw(id, rep.Versions[j.model], now+watchLoading+orderTimeout) })
+	g.tellWeights(id, rep.Versions[j.model], watchLoading+orderTimeout)
 	call, err := g.dialect.OrderCall(j.replica.Address, o)
 	if err != nil {
 		g.log("order not given", "Replica", id, "Error", err.Error())
--- a/internal/fpgateway/settings.go
+++ b/internal/fpgateway/settings.go
@@ -35,6 +35,8 @@
 		Grace time.Duration
 		// Drain is the time after which a leaving replica must get no new work.
 		Drain time.Duration
+		// OldWeights is how long replaced weights may still be used, 0 for any time.
+		OldWeights time.Duration
 		// OrderLease is the time for which the right to give orders is held.
 		OrderLease time.Duration
 		// LeaseFloor is the shortest lease that the store grants.
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"maps"
+	"net"
+	"slices"
 	"time"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpstore"
@@ -24,8 +26,8 @@
 		catalog *fpcatalog.Catalog
 		fleet   *fpfleet.Fleet
 		born    map[string]int64
-		weights map[string]namedWeights
-		hosts   map[string]bool
+		weights map[string][]namedWeights
+		hosts   map[string]hostEntry
 		// learnt holds versions that replicas told of themselves, by replica.
 		learnt map[string]int64
 		// loading holds until when a replica is believed to change its weights.
@@ -35,6 +37,12 @@
 		orderHolder string
 	}
 
+	// hostEntry is another host; the address is nil when it takes no notices.
+	hostEntry struct {
+		region  string
+		address *net.UDPAddr
+	}
+
 	namedWeights struct {
 		version int64
 		since   time.Duration
@@ -45,8 +53,11 @@
 		catalog  *fpcatalog.Catalog
 		services map[string][]fpbalance.Replica
 		members  []fpfleet.Replica
-		weights  map[string]namedWeights
+		weights  map[string][]namedWeights
 		hosts    int
+		// all and near are the hosts that are told of weights and of requests.
+		all      []*net.UDPAddr
+		near     []*net.UDPAddr
 		draining bool
 		// orderHolder is the host that gives orders; away says that the store can't be reached.
 		orderHolder string
@@ -59,8 +70,8 @@
 		gateway: g,
 		fleet:   fpfleet.New(),
 		born:    make(map[string]int64),
-		weights: make(map[string]namedWeights),
-		hosts:   make(map[string]bool),
+		weights: make(map[string][]namedWeights),
+		hosts:   make(map[string]hostEntry),
 		learnt:  make(map[string]int64),
 		loading: make(map[string]time.Duration),
 	}
@@ -104,7 +115,7 @@
 
 func (c *control) item(i fpstore.Item, now time.Duration, complete bool, listed *[]fpfleet.Replica) {
 	if len(i.Key) > len(hostsPrefix) && i.Key[:len(hostsPrefix)] == hostsPrefix {
-		c.hosts[i.Key[len(hostsPrefix):]] = !i.Deleted
+		c.host(i)
 		return
 	}
 	if i.Key == orderKey {
@@ -132,6 +143,20 @@
 	}
 }
 
+// host takes in another host's entry, or that it is gone.
+func (c *control) host(i fpstore.Item) {
+	name := i.Key[len(hostsPrefix):]
+	if i.Deleted {
+		delete(c.hosts, name)
+		return
+	}
+	h, err := hostAddress(i.Value)
+	if err != nil {
+		c.gateway.log("host without an address for notices", "Peer", name, "Error", err.Error())
+	}
+	c.hosts[name] = h
+}
+
 // configured puts a configuration in force, unless it is older than the one that is.
 func (c *control) configured(n *fpcatalog.Catalog, revision int64) {
 	if c.catalog != nil && n.Version() <= c.catalog.Version() {
@@ -158,10 +183,12 @@
 }
 
 func (c *control) named(w NamedWeights, revision int64, now time.Duration) {
-	if w.Version <= c.weights[w.Model].version {
+	list := c.weights[w.Model]
+	if len(list) > 0 && w.Version <= list[len(list)-1].version {
 		return
 	}
-	c.weights[w.Model] = namedWeights{version: w.Version, since: now}
+	// A new slice: snapshots share the old one.
+	c.weights[w.Model] = append(slices.Clip(list), namedWeights{version: w.Version, since: now})
 	c.gateway.log("weights named", "Model", w.Model, "WeightsVersion", w.Version, "Revision", revision)
 }
 
@@ -175,6 +202,27 @@
 	c.loading[id] = loading
 }
 
+// newest returns the newest version named for a model, 0 for none.
+func (s *snapshot) newest(model string) namedWeights {
+	list := s.weights[model]
+	if len(list) == 0 {
+		return namedWeights{}
+	}
+	return list[len(list)-1]
+}
+
+// oldest returns the oldest version of a model that may still be used: the
+// newest of those named longer than limit ago, 0 when none is.
+func (s *snapshot) oldest(model string, limit, now time.Duration) int64 {
+	oldest := int64(0)
+	for _, n := range s.weights[model] {
+		if limit > 0 && now-n.since >= limit {
+			oldest = n.version
+		}
+	}
+	return oldest
+}
+
 // snapshot returns the present picture.
 func (c *control) snapshot(now time.Duration, draining bool) *snapshot {
 	c.fleet.Expire(now)
@@ -188,9 +236,14 @@
 		orderHolder: c.orderHolder,
 		away:        c.away,
 	}
-	for _, alive := range c.hosts {
-		if alive {
-			s.hosts++
+	s.hosts = len(c.hosts)
+	for name, h := range c.hosts {
+		if name == c.gateway.settings.Host || h.address == nil {
+			continue
+		}
+		s.all = append(s.all, h.address)
+		if len(c.hosts) <= maxToldHosts || h.region == c.gateway.settings.Place.Region {
+			s.near = append(s.near, h.address)
 		}
 	}
 	for _, r := range s.members {
--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -63,7 +63,7 @@
 	home := b.home(replicas, q)
 	best := Choice{Score: -1}
 	for _, r := range replicas {
-		if r.Loading || slices.Contains(q.Exclude, r.ID) || !b.load(r.ID).circuit.Allows(time.Unix(0, int64(now))) {
+		if r.Loading || r.Engine && r.Version < q.Oldest || slices.Contains(q.Exclude, r.ID) || !b.load(r.ID).circuit.Allows(time.Unix(0, int64(now))) {
 			continue
 		}
 		c := b.predict(replicas, r, q, link, r.ID == home, now)
@@ -122,7 +122,7 @@
 		credit = homeCredit * float64(c.Miss) / prefillRate
 	}
 	compute := float64(c.Miss) / prefillRate
-	seconds += move + compute + float64(l.unstarted)/prefillRate + l.work(now)*runningSeconds
+	seconds += move + compute + float64(l.ahead(now))/prefillRate + l.work(now)*runningSeconds
 	cost := b.remoteCost(r) + compute*recomputeWeight + move - credit
 	if q.Newest > r.Version && q.NamedFor > staleAfter {
 		cost += staleSeconds
@@ -257,3 +257,18 @@
 func (b *Balancer) Reachable(id string, now time.Duration) bool {
 	return b.load(id).circuit.Allows(time.Unix(0, int64(now)))
 }
+
+// Heard records work that another host sent to a replica.
+func (b *Balancer) Heard(replica, id string, tokens int, salt string, parts []Part, now time.Duration) {
+	l := b.load(replica)
+	if l.others == nil {
+		l.others = make(map[string]heardWork)
+	}
+	l.others[id] = heardWork{tokens: tokens, at: now}
+	for _, p := range parts {
+		b.directory.Stored(replica, salt, p.ID, p.Tokens, false, now)
+	}
+}
+
+// HeardBegun records that another host's work has begun to be answered.
+func (b *Balancer) HeardBegun(replica, id string) { delete(b.load(replica).others, id) }
--- a/pkg/fpbalance/load.go
+++ b/pkg/fpbalance/load.go
@@ -11,6 +11,8 @@
 	reportDecay = time.Second
 	// delayDecay is the time in which an observed delay loses its weight.
 	delayDecay = 700 * time.Millisecond
+	// heardFor bounds the belief in another host's work whose begin was not heard of.
+	heardFor = 3 * time.Second
 	// delayGain is the weight of the newest observation.
 	delayGain = 0.3
 )
@@ -30,7 +32,13 @@
 		delay   float64
 		delayAt time.Duration
 		circuit fproute.Circuit
-		failed  bool
+		// others holds the tokens that other hosts have sent here, by request.
+		others map[string]heardWork
+	}
+
+	heardWork struct {
+		tokens int
+		at     time.Duration
 	}
 )
 
@@ -44,6 +52,19 @@
 	return max(float64(l.running), float64(l.reported+l.waiting)*fresh+float64(l.sentSince))
 }
 
+// ahead returns the prompt tokens that wait at the replica.
+func (l *load) ahead(now time.Duration) int {
+	sum := l.unstarted
+	for id, w := range l.others {
+		if now-w.at > heardFor {
+			delete(l.others, id)
+			continue
+		}
+		sum += w.tokens
+	}
+	return sum
+}
+
 // lag returns the remembered delay, which loses weight with time.
 func (l *load) lag(now time.Duration) float64 {
 	if l.delay <= 0 {
--- a/pkg/fpbalance/types.go
+++ b/pkg/fpbalance/types.go
@@ -58,6 +58,8 @@
 		// Newest is the newest version named for the model, and NamedFor how long it has been.
 		Newest   int64
 		NamedFor time.Duration
+		// Oldest is the oldest version that may be used.
+		Oldest int64
 		// Left is the time until the answer's deadline.
 		Left time.Duration
 		// Objective is the time within which the first token is worth most.
--- a/pkg/fpcatalog/catalog.go
+++ b/pkg/fpcatalog/catalog.go
@@ -7,6 +7,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// routeRanks is the number of ranks within one team priority.
+const routeRanks = 3
+
 // New returns the catalog of a document.
 func New(d Document) *Catalog {
 	c := &Catalog{
@@ -98,10 +101,12 @@
 // Repeatable reports whether a request may run again after it may have run.
 func (r *Route) Repeatable() bool { return r.Kind == Idempotent || r.Kind == Stream && r.Resumable }
 
-// Rank returns the priority of a team's request: the team's, or else the route's.
+// Rank returns the rank of a team's request, 0 first: the team's priority goes
+// before the route's, which orders the requests of one team.
 func (r *Route) Rank(t *Team) int {
+	rank := min(r.Priority, routeRanks-1)
 	if t != nil && t.Priority != nil {
-		return *t.Priority
+		rank += *t.Priority * routeRanks
 	}
-	return r.Priority
+	return rank
 }
