--- a/cmd/fescuepointd/main.go
+++ b/cmd/fescuepointd/main.go
@@ -66,7 +66,7 @@
 		fmt.Println("the settings are good")
 		return
 	}
-	if err := serveGateway(s); err != nil {
+	if err := serveGateway(file, s); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -100,7 +100,7 @@
 	}
 	if n := q.state.newest(q.caller.Model); n.version > 0 {
 		w.Newest, w.NamedFor = n.version, now-n.since
-		w.Oldest = q.state.oldest(q.caller.Model, q.gateway.settings.OldWeights, now)
+		w.Oldest = q.state.oldest(q.caller.Model, q.gateway.settings().OldWeights, now)
 	}
 	if q.route.Kind == fpcatalog.Stream {
 		patience := max(patienceFloor, patienceObjectives*q.route.Objective, patiencePauses*q.route.Pause)
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -36,15 +36,24 @@
 		Dialect Dialect
 		Clock   fpclock.Clock
 		Log     *fplog.Queue
+		// Reload delivers new settings; nil when they never change.
+		Reload <-chan Reloaded
+	}
+
+	// Reloaded is the result of reading the settings anew.
+	Reloaded struct {
+		Settings Settings
+		Err      error
 	}
 
 	// Gateway is one host.
 	Gateway struct {
-		settings Settings
+		current  atomic.Pointer[Settings]
 		store    fpstore.Store
 		dialect  Dialect
 		clock    fpclock.Clock
 		queue    *fplog.Queue
+		reloads  <-chan Reloaded
 		logger   log.Logger
 		limited  *lineLimit
 		metrics  *fpmetric.Set
@@ -70,11 +79,11 @@
 		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
 	}
 	g := &Gateway{
-		settings: s,
 		store:    p.Store,
 		dialect:  p.Dialect,
 		clock:    p.Clock,
 		queue:    p.Log,
+		reloads:  p.Reload,
 		logger:   p.Log.Logger(),
 		limited:  newLineLimit(),
 		metrics:  fpmetric.New(),
@@ -84,11 +93,15 @@
 		retries:  make(map[string]*fplimit.RetryWindow),
 	}
 	g.pool = fpconn.NewPool(p.Clock, func(string) { g.metrics.Count("upstream_connections", 1) })
+	g.current.Store(&s)
 	g.state.Store(&snapshot{})
 	g.proof.Store(&fpfresh.Proof{})
 	return g
 }
 
+// settings returns those in force.
+func (g *Gateway) settings() Settings { return *g.current.Load() }
+
 // Run serves until the context ends, then stops gracefully.
 func (g *Gateway) Run(ctx context.Context) error {
 	inner, cancel := context.WithCancel(context.Background())
@@ -98,21 +111,21 @@
 	follower := &fpstore.Follower{Store: g.store, Clock: g.clock, Deliver: g.deliver}
 	rollout := newRollout(g)
 	for _, f := range []func(context.Context) error{
-		g.queue.Run, g.control, follower.Run, g.register, rollout.run, g.readEvents, g.receiveNotices,
+		g.queue.Run, g.control, follower.Run, g.register, rollout.run, g.readEvents, g.receiveNotices, g.reload,
 	} {
 		part, stop := context.WithCancel(inner)
 		r.Add(func() error { return f(part) }, func(error) { stop() })
 	}
-	callers := g.newServer(g.settings.Callers, g)
-	servers := []*server{callers, g.newServer(g.settings.Ready, g.readyHandler())}
-	if g.settings.Control != "" {
-		servers = append(servers, g.newServer(g.settings.Control, g.metricsHandler()))
+	callers := g.newServer(g.settings().Callers, g)
+	servers := []*server{callers, g.newServer(g.settings().Ready, g.readyHandler())}
+	if g.settings().Control != "" {
+		servers = append(servers, g.newServer(g.settings().Control, g.metricsHandler()))
 	}
 	for _, s := range servers {
 		r.Add(s.serve, func(error) { s.close() })
 	}
 	r.Add(func() error { return g.waitForStop(ctx, inner, callers) }, func(error) { close(g.stopped) })
-	g.log("started", "Zone", g.settings.Place.Zone, "Callers", g.settings.Callers, "Store", g.settings.Store)
+	g.log("started", "Zone", g.settings().Place.Zone, "Callers", g.settings().Callers, "Store", g.settings().Store)
 	err := r.Run()
 	g.pool.Close()
 	g.queue.Wait()
@@ -178,20 +191,20 @@
 // ready reports whether this host can serve callers.
 func (g *Gateway) ready() bool {
 	s := g.state.Load()
-	return s.catalog != nil && !g.draining.Load() && g.proof.Load().AllowsKeys(g.settings.Fresh, g.clock())
+	return s.catalog != nil && !g.draining.Load() && g.proof.Load().AllowsKeys(g.settings().Fresh, g.clock())
 }
 
 // retry reports whether the service's budget allows one more send.
 func (g *Gateway) retry(service string, hosts int) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.window(service).Take(g.settings.Retry, hosts, g.clock())
+	return g.window(service).Take(g.settings().Retry, hosts, g.clock())
 }
 
 func (g *Gateway) count(service string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.window(service).Request(g.settings.Retry, g.clock())
+	g.window(service).Request(g.settings().Retry, g.clock())
 }
 
 func (g *Gateway) window(service string) *fplimit.RetryWindow {
--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -104,13 +104,13 @@
 		return &denial{status: http.StatusRequestHeaderFieldsTooLarge, reason: "the header is too long"}
 	}
 	proof := g.proof.Load()
-	sure := proof.AllowsDenial(g.settings.Fresh, g.clock())
+	sure := proof.AllowsDenial(g.settings().Fresh, g.clock())
 	q.route = c.Route(q.http.Host, q.http.URL.EscapedPath())
 	if q.route == nil {
 		return q.unknown(http.StatusNotFound, "no such route", sure)
 	}
 	if c.Keyed() && !q.route.Public {
-		if !proof.AllowsKeys(g.settings.Fresh, g.clock()) {
+		if !proof.AllowsKeys(g.settings().Fresh, g.clock()) {
 			return &denial{status: http.StatusServiceUnavailable, reason: "keys can't be checked: the store is out of reach", after: startRetryAfter}
 		}
 		if q.team = c.Team(q.caller.Key); q.team == nil {
--- a/internal/fpgateway/log.go
+++ b/internal/fpgateway/log.go
@@ -56,7 +56,7 @@
 	if !ok {
 		return
 	}
-	line := append([]any{"Host", g.settings.Host, "Message", message}, fields...)
+	line := append([]any{"Host", g.settings().Host, "Message", message}, fields...)
 	if left > 0 {
 		line = append(line, "LeftOut", left)
 	}
--- a/internal/fpgateway/peers.go
+++ b/internal/fpgateway/peers.go
@@ -34,7 +34,7 @@
 
 // openPeers opens the socket for notices; without one a host works alone.
 func (g *Gateway) openPeers() {
-	address := g.settings.peerAddress()
+	address := g.settings().peerAddress()
 	if address == "" {
 		return
 	}
@@ -56,7 +56,7 @@
 }
 
 func (g *Gateway) heard(n fpnotice.Notice) {
-	if n.Host == g.settings.Host {
+	if n.Host == g.settings().Host {
 		return
 	}
 	if w := n.Weights; w != nil {
@@ -95,7 +95,7 @@
 	if g.notices == nil || len(to) == 0 {
 		return
 	}
-	n.Host = g.settings.Host
+	n.Host = g.settings().Host
 	if err := g.notices.Send(to, n); err != nil {
 		g.metrics.Count("notice_errors", 1)
 	}
--- a/internal/fpgateway/rollout.go
+++ b/internal/fpgateway/rollout.go
@@ -96,7 +96,7 @@
 		}
 		return fpclock.Sleep(ctx, rand.N(acquireJitter)) && r.acquire(ctx)
 	}
-	if now-r.renewed < r.gateway.settings.OrderLease/renewShare {
+	if now-r.renewed < r.gateway.settings().OrderLease/renewShare {
 		return true
 	}
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -106,7 +106,7 @@
 	case err == nil:
 		r.renewed = now
 		r.mu.Lock()
-		r.lease.Until = now + r.gateway.settings.OrderLease
+		r.lease.Until = now + r.gateway.settings().OrderLease
 		r.mu.Unlock()
 	case errors.Is(err, fpstore.ErrLeaseGone) || r.gateway.clock() >= r.until():
 		r.drop(err.Error())
@@ -125,14 +125,14 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	sent := g.clock()
-	id, err := g.store.Grant(ctx, g.settings.OrderLease)
+	id, err := g.store.Grant(ctx, g.settings().OrderLease)
 	if err != nil {
 		g.log("orders not acquired", "Error", err.Error())
 		return false
 	}
 	fence, err := g.store.Commit(ctx, fpstore.Transaction{
 		Conditions: []fpstore.Condition{{Key: orderKey}},
-		Puts:       []fpstore.Put{{Key: orderKey, Value: []byte(g.settings.Host), Lease: id}},
+		Puts:       []fpstore.Put{{Key: orderKey, Value: []byte(g.settings().Host), Lease: id}},
 	})
 	if err != nil {
 		g.log("orders not acquired", "Error", err.Error())
@@ -140,7 +140,7 @@
 	}
 	r.id, r.renewed = id, sent
 	r.mu.Lock()
-	r.lease = fporder.Lease{Fencing: fence, Acquired: g.clock(), Until: sent + g.settings.OrderLease}
+	r.lease = fporder.Lease{Fencing: fence, Acquired: g.clock(), Until: sent + g.settings().OrderLease}
 	r.mu.Unlock()
 	g.log("orders acquired", "Fence", fence, "Lease", int64(id))
 	return true
@@ -295,7 +295,7 @@
 	}
 	o := Order{
 		Replica: id, Model: j.model, Version: j.version, Mode: KeepRuns,
-		Holder: g.settings.Host, Fence: lease.Fencing, Orders: rep.Orders,
+		Holder: g.settings().Host, Fence: lease.Fencing, Orders: rep.Orders,
 	}
 	g.tellWeights(id, rep.Versions[j.model], watchLoading+orderTimeout)
 	call, err := g.dialect.OrderCall(j.replica.Address, o)
--- a/internal/fpgateway/serve.go
+++ b/internal/fpgateway/serve.go
@@ -85,9 +85,9 @@
 	<-ctx.Done()
 	started := g.clock()
 	g.draining.Store(true)
-	g.log("stopping", "Running", g.running.Load(), "Grace", g.settings.Grace.String())
+	g.log("stopping", "Running", g.running.Load(), "Grace", g.settings().Grace.String())
 	fpclock.Sleep(inner, noticeTime)
-	left := g.settings.Grace - (g.clock() - started) - stopMargin
+	left := g.settings().Grace - (g.clock() - started) - stopMargin
 	stop, cancel := context.WithTimeout(inner, max(left, stopMargin))
 	defer cancel()
 	if err := callers.http.Shutdown(stop); err != nil {
--- a/internal/fpgateway/settings.go
+++ b/internal/fpgateway/settings.go
@@ -58,3 +58,11 @@
 	}
 	return d
 }
+
+// WithReloaded returns the settings with what may change while the host runs
+// taken from newer ones.
+func (s Settings) WithReloaded(n Settings) Settings {
+	n.Host, n.Place = s.Host, s.Place
+	n.Callers, n.Ready, n.Control, n.Store, n.PeerPort = s.Callers, s.Ready, s.Control, s.Store, s.PeerPort
+	return n
+}
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -238,11 +238,11 @@
 	}
 	s.hosts = len(c.hosts)
 	for name, h := range c.hosts {
-		if name == c.gateway.settings.Host || h.address == nil {
+		if name == c.gateway.settings().Host || h.address == nil {
 			continue
 		}
 		s.all = append(s.all, h.address)
-		if len(c.hosts) <= maxToldHosts || h.region == c.gateway.settings.Place.Region {
+		if len(c.hosts) <= maxToldHosts || h.region == c.gateway.settings().Place.Region {
 			s.near = append(s.near, h.address)
 		}
 	}
@@ -260,7 +260,7 @@
 		Service: r.Service,
 		Address: r.Address,
 		Zone:    r.Zone,
-		Region:  c.gateway.settings.Zones[r.Zone],
+		Region:  c.gateway.settings().Zones[r.Zone],
 		Slots:   r.Slots,
 		Loading: now < c.loading[r.ID],
 	}
