Shared parts of prompts are kept in the cache store and fetched from it

Change: a request saves its shared parts to a store of its replica's region and fetches what the replica lacks from the best holder; moves weigh a fifth of a computed second; an engine's rate counts the steps around its pieces.

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -97,6 +97,7 @@
 		Left:      q.ends - now,
 		Objective: q.route.Objective,
 		Exclude:   q.excluded,
+		Stores:    q.stores(),
 	}
 	if n := q.state.newest(q.caller.Model); n.version > 0 {
 		w.Newest, w.NamedFor = n.version, now-n.since
@@ -119,6 +120,14 @@
 	return fmt.Sprintf("%s/%d/%s", q.caller.Model, version, team)
 }
 
+// stores returns the stores of KV cache, for requests with a prompt.
+func (q *request) stores() []fpbalance.CacheStore {
+	if q.service.Engine == nil {
+		return nil
+	}
+	return q.state.stores
+}
+
 func (q *request) link() fpbalance.Link {
 	e := q.service.Engine
 	if e == nil {
@@ -185,6 +194,9 @@
 		Rank:      -1,
 		LastEvent: q.caller.LastEvent,
 	}
+	if c.Save != nil {
+		a.Save = c.Save.Address
+	}
 	if q.stream.lastEvent != "" {
 		a.LastEvent = q.stream.lastEvent
 	}
--- a/internal/fpgateway/events.go
+++ b/internal/fpgateway/events.go
@@ -60,6 +60,11 @@
 	if s.catalog == nil {
 		return out
 	}
+	for _, c := range s.stores {
+		if service := s.catalog.Service(c.ID); service != nil && s.hosts <= service.Cache.EventReaders-readersSpare {
+			out[c.ID+"@"+c.Address] = fpbalance.Replica{ID: c.ID, Address: c.Address}
+		}
+	}
 	for name, replicas := range s.services {
 		service := s.catalog.Service(name)
 		if service == nil || service.Engine == nil || s.hosts > service.Engine.EventReaders-readersSpare {
--- a/internal/fpgateway/port.go
+++ b/internal/fpgateway/port.go
@@ -78,6 +78,8 @@
 		Version int64
 		// Source is the address of a replica to copy cached parts from.
 		Source string
+		// Save is the address of the store that is to get the prompt's parts.
+		Save string
 		// Rank is the priority, 0 first; negative leaves it out.
 		Rank      int
 		LastEvent string
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -56,6 +56,7 @@
 		services map[string][]fpbalance.Replica
 		members  []fpfleet.Replica
 		weights  map[string][]namedWeights
+		stores   []fpbalance.CacheStore
 		hosts    int
 		// all and near are the hosts that are told of weights and of requests.
 		all      []*net.UDPAddr
@@ -269,6 +270,7 @@
 		orderHolder: c.orderHolder,
 		away:        c.away,
 	}
+	s.stores = c.stores()
 	s.hosts = len(c.hosts)
 	for name, h := range c.hosts {
 		if name == c.gateway.settings().Host || h.address == nil {
@@ -287,6 +289,21 @@
 	return s
 }
 
+// stores returns the stores of KV cache that the configuration names.
+func (c *control) stores() []fpbalance.CacheStore {
+	if c.catalog == nil {
+		return nil
+	}
+	var out []fpbalance.CacheStore
+	for _, s := range c.catalog.CacheStores() {
+		out = append(out, fpbalance.CacheStore{
+			ID: s.Name, Address: s.Cache.Address, Zone: s.Cache.Zone,
+			Region: c.gateway.settings().Zones[s.Cache.Zone], Megabits: s.Cache.LinkMegabits,
+		})
+	}
+	return out
+}
+
 func (c *control) member(r fpfleet.Replica, now time.Duration) fpbalance.Replica {
 	m := fpbalance.Replica{
 		ID:      r.ID,
--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// prefillRate is the prompt tokens that an engine reads a second, the lower of
-	// the users' two figures (112 and 157 tokens a millisecond).
-	prefillRate = 112_000
+	// prefillRate is the prompt tokens that an engine reads a second: pieces of
+	// 1,024 at the lower of the users' two rates (112 tokens a millisecond), with a
+	// step's 3.4 ms and the work on the pairs of tokens.
+	prefillRate = 64_000
 	// stepSeconds is the time between two tokens that running work adds to a new
 	// request's first one (the users' engines: 3.4 ms a step and 0.1 ms a request).
 	runningSeconds = 0.006
@@ -27,7 +28,7 @@
 	recomputeWeight = 1.5
 	// homeCredit is the part of a prompt that the home of its first part is
 	// believed to hold without evidence, so that all hosts choose alike.
-	homeCredit = 0.5
+	homeCredit = 1.5
 	// staleAfter is the age of a newer version from which answers on older weights lose worth.
 	staleAfter = 1200 * time.Millisecond
 	// staleSeconds is what an answer on older weights costs, in seconds of waiting.
@@ -36,7 +37,10 @@
 	zoneFactor   = 2
 	regionFactor = 10
 	// moveLimit is the longest move that is worth starting.
-	moveLimit = 0.3
+	moveLimit = 0.6
+	// moveWeight is what a second of moving costs beside the wait: it takes a link
+	// and no engine.
+	moveWeight = 0.2
 	// minCopyTokens is the least number of tokens that is worth a move.
 	minCopyTokens = 1024
 )
@@ -106,10 +110,7 @@
 		seconds += plainSeconds + max(over, 0)*plainSeconds/float64(max(r.Slots, 1))
 		return c.with(seconds, b.remoteCost(r))
 	}
-	total := 0
-	for _, p := range q.Parts {
-		total += p.Tokens
-	}
+	total := tokensOf(q.Parts)
 	salt := q.Salt(r.Version)
 	c.Hit = b.directory.Leading(r.ID, salt, q.Parts, now)
 	move := 0.0
@@ -117,13 +118,14 @@
 		c.Source, c.Copied, move = b.source(replicas, r, q, salt, c.Hit, link, now)
 	}
 	c.Miss = total - c.Hit - c.Copied
+	c.Save = b.save(r, q, salt, now)
 	credit := 0.0
 	if home && c.Hit == 0 && c.Copied == 0 {
 		credit = homeCredit * float64(c.Miss) / prefillRate
 	}
 	compute := float64(c.Miss) / prefillRate
 	seconds += move + compute + float64(l.ahead(now))/prefillRate + l.work(now)*runningSeconds
-	cost := b.remoteCost(r) + compute*recomputeWeight + move - credit
+	cost := b.remoteCost(r) + compute*recomputeWeight + move*moveWeight - credit
 	if q.Newest > r.Version && q.NamedFor > staleAfter {
 		cost += staleSeconds
 	}
@@ -143,28 +145,67 @@
 	if link.Megabits <= 0 {
 		return address, tokens, seconds
 	}
-	for _, r := range replicas {
-		if r.ID == to.ID || r.Version != to.Version || r.Loading {
-			continue
-		}
-		more := b.directory.Leading(r.ID, salt, q.Parts, now) - hit
+	consider := func(id, from string, megabits, factor float64) {
+		more := b.directory.Leading(id, salt, q.Parts, now) - hit
 		if more < minCopyTokens {
-			continue
+			return
 		}
-		move := float64(more*link.BytesPerToken*8) / (link.Megabits * 1e6) * factor(r, to)
+		move := float64(more*link.BytesPerToken*8) / (megabits * 1e6) * factor
 		better := more > tokens || more == tokens && move < seconds
 		if move < moveLimit && move < float64(more)/prefillRate && better {
-			address, tokens, seconds = r.Address, more, move
+			address, tokens, seconds = from, more, move
 		}
 	}
+	for _, r := range replicas {
+		if r.ID == to.ID || r.Version != to.Version || r.Loading {
+			continue
+		}
+		consider(r.ID, r.Address, link.Megabits, factor(r.Zone, r.Region, to))
+	}
+	for _, s := range q.Stores {
+		consider(s.ID, s.Address, min(s.Megabits, link.Megabits), factor(s.Zone, s.Region, to))
+	}
 	return address, tokens, seconds
 }
 
-func factor(a, b Replica) float64 {
+// save returns the store that should get the parts that others share, unless it
+// is believed to hold them or lies in another region.
+func (b *Balancer) save(r Replica, q Request, salt string, now time.Duration) *CacheStore {
+	shared := q.shared()
+	if len(shared) == 0 {
+		return nil
+	}
+	for i, s := range q.Stores {
+		if s.Region == r.Region && b.directory.Leading(s.ID, salt, shared, now) < tokensOf(shared) {
+			return &q.Stores[i]
+		}
+	}
+	return nil
+}
+
+// shared returns the leading parts that are long enough to be worth keeping; the
+// last part is the request's own.
+func (q Request) shared() []Part {
+	if len(q.Parts) < 2 || tokensOf(q.Parts[:len(q.Parts)-1]) < minCopyTokens {
+		return nil
+	}
+	return q.Parts[:len(q.Parts)-1]
+}
+
+func tokensOf(parts []Part) int {
+	sum := 0
+	for _, p := range parts {
+		sum += p.Tokens
+	}
+	return sum
+}
+
+// factor returns how much longer a move from a place to a replica takes.
+func factor(zone, region string, to Replica) float64 {
 	switch {
-	case a.Zone == b.Zone:
+	case zone == to.Zone:
 		return 1
-	case a.Region == b.Region:
+	case region == to.Region:
 		return zoneFactor
 	default:
 		return regionFactor
@@ -214,6 +255,11 @@
 			b.directory.Stored(c.Replica.ID, salt, p.ID, p.Tokens, false, now)
 		}
 	}
+	if c.Save != nil {
+		for _, p := range q.shared() {
+			b.directory.Stored(c.Save.ID, salt, p.ID, p.Tokens, false, now)
+		}
+	}
 }
 
 // Started records the first byte of an answer, after a wait.
--- a/pkg/fpbalance/types.go
+++ b/pkg/fpbalance/types.go
@@ -42,6 +42,16 @@
 		Megabits      float64
 	}
 
+	// CacheStore keeps cached tokens for engines, whatever their version: salts
+	// tell versions apart.
+	CacheStore struct {
+		ID       string
+		Address  string
+		Zone     string
+		Region   string
+		Megabits float64
+	}
+
 	// Place is where a host stands.
 	Place struct {
 		Zone   string
@@ -64,6 +74,8 @@
 		Left time.Duration
 		// Objective is the time within which the first token is worth most.
 		Objective time.Duration
+		// Stores are where cached parts may be fetched from and saved to.
+		Stores []CacheStore
 		// Exclude lists replicas that were tried already.
 		Exclude []string
 	}
@@ -77,6 +89,8 @@
 		Copied int
 		Miss   int
 		Source string
+		// Save is the store that is to get the shared parts, nil for none.
+		Save *CacheStore
 		// Wait is the predicted time to the first byte of the answer.
 		Wait  time.Duration
 		Score float64
