Cached parts are copied only from replicas that say that they hold them

Cause: a part counted as held from the moment its request was sent; copies asked for before it was read found nothing and were computed again. Change: sources count by cache events alone. Test: TestChoose, 'what was only just sent there is not copied'.

--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -146,7 +146,7 @@
 		return address, tokens, seconds
 	}
 	consider := func(id, from string, megabits, factor float64) {
-		more := b.directory.Leading(id, salt, q.Parts, now) - hit
+		more := b.directory.LeadingSure(id, salt, q.Parts, now) - hit
 		if more < minCopyTokens {
 			return
 		}
--- a/pkg/fpbalance/directory.go
+++ b/pkg/fpbalance/directory.go
@@ -48,7 +48,8 @@
 	if len(h.parts) >= maxPartsPerReplica {
 		h.expire(now)
 	}
-	h.parts[partKey{salt: salt, id: id}] = held{tokens: tokens, at: now, sure: sure}
+	k := partKey{salt: salt, id: id}
+	h.parts[k] = held{tokens: tokens, at: now, sure: sure || h.parts[k].sure}
 }
 
 // Evicted records how many tokens of a part are left at a replica.
@@ -89,6 +90,16 @@
 
 // Leading returns the tokens of the leading parts that a replica is believed to hold.
 func (d *Directory) Leading(replica, salt string, parts []Part, now time.Duration) int {
+	return d.leading(replica, salt, parts, false, now)
+}
+
+// LeadingSure is Leading by the replica's own word alone: what was only just
+// sent there may not be in place yet.
+func (d *Directory) LeadingSure(replica, salt string, parts []Part, now time.Duration) int {
+	return d.leading(replica, salt, parts, true, now)
+}
+
+func (d *Directory) leading(replica, salt string, parts []Part, sure bool, now time.Duration) int {
 	h := d.replicas[replica]
 	if h == nil {
 		return 0
@@ -96,7 +107,7 @@
 	sum := 0
 	for _, p := range parts {
 		v, ok := h.parts[partKey{salt: salt, id: p.ID}]
-		if !ok || now-v.at > beliefFor {
+		if !ok || now-v.at > beliefFor || sure && !v.sure {
 			break
 		}
 		sum += min(v.tokens, p.Tokens)
