Late work ranks behind work that can still be on time

Change: backlog counts by rank; a request whose first token can't come within its objective is ranked last. Test: TestRanks replays a burst.

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -96,6 +96,8 @@
 		Salt:      q.salt,
 		Left:      q.ends - now,
 		Objective: q.route.Objective,
+		Waited:    now - q.arrived,
+		Rank:      q.route.Rank(q.team),
 		Exclude:   q.excluded,
 		Stores:    q.stores(),
 	}
@@ -206,7 +208,7 @@
 	if c.Replica.Engine {
 		a.Salt = q.salt(c.Replica.Version)
 		a.Version = c.Replica.Version
-		a.Rank = q.route.Rank(q.team)
+		a.Rank = c.Rank
 	}
 	recent := recentOnce
 	if q.route.Repeatable() {
--- a/internal/fpgateway/peers.go
+++ b/internal/fpgateway/peers.go
@@ -83,7 +83,7 @@
 	for _, p := range w.Parts {
 		parts = append(parts, fpbalance.Part(p))
 	}
-	g.balancer.Heard(w.Replica, w.ID, w.Tokens, w.Salt, parts, now)
+	g.balancer.Heard(w.Replica, w.ID, w.Tokens, w.Rank, w.Salt, parts, now)
 }
 
 // until returns the moment in so many milliseconds, 0 for none.
@@ -110,7 +110,7 @@
 	if c.Miss < tellTokens {
 		return
 	}
-	w := &fpnotice.Work{ID: q.caller.ID, Replica: c.Replica.ID, Tokens: c.Miss, Begun: begun}
+	w := &fpnotice.Work{ID: q.caller.ID, Replica: c.Replica.ID, Tokens: c.Miss, Rank: c.Rank, Begun: begun}
 	if !begun {
 		w.Salt = q.salt(c.Replica.Version)
 		for _, p := range q.caller.Parts[:min(len(q.caller.Parts), maxToldParts)] {
--- a/internal/fpnotice/notice.go
+++ b/internal/fpnotice/notice.go
@@ -28,6 +28,7 @@
 		// Tokens are those to be computed; they no longer wait once Begun is set.
 		Tokens int
 		Begun  bool   `json:",omitempty"`
+		Rank   int    `json:",omitempty"`
 		Salt   string `json:",omitempty"`
 		Parts  []Part `json:",omitempty"`
 	}
--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuepoint/fescuepoint/pkg/fproute"
 )
 
@@ -62,8 +64,21 @@
 // Directory returns what is believed cached where, for events to correct.
 func (b *Balancer) Directory() *Directory { return b.directory }
 
-// Choose returns the replica to send a request to.
+// Choose returns the replica to send a request to. A request whose first token
+// can't come within its objective is ranked behind all that can: when load is
+// at its worst a queue in order of arrival would make every answer late.
 func (b *Balancer) Choose(replicas []Replica, q Request, link Link, now time.Duration) (Choice, error) {
+	q.Rank = min(q.Rank, LateRank-1)
+	c, err := b.best(replicas, q, link, now)
+	if q.Objective == 0 || errors.Is(err, ErrNoReplica) || !c.Replica.Engine || c.Wait <= q.Objective-q.Waited {
+		return c, err
+	}
+	q.Rank = LateRank
+	return b.best(replicas, q, link, now)
+}
+
+// best returns the replica with the least score for a request of a rank.
+func (b *Balancer) best(replicas []Replica, q Request, link Link, now time.Duration) (Choice, error) {
 	home := b.home(replicas, q)
 	best := Choice{Score: -1}
 	for _, r := range replicas {
@@ -102,7 +117,7 @@
 }
 
 func (b *Balancer) predict(replicas []Replica, r Replica, q Request, link Link, home bool, now time.Duration) Choice {
-	c := Choice{Replica: r}
+	c := Choice{Replica: r, Rank: q.Rank}
 	l := b.load(r.ID)
 	seconds := b.distance(r) + l.lag(now)
 	if !r.Engine {
@@ -124,7 +139,7 @@
 		credit = homeCredit * float64(c.Miss) / prefillRate
 	}
 	compute := float64(c.Miss) / prefillRate
-	seconds += move + compute + float64(l.ahead(now))/prefillRate + l.work(now)*runningSeconds
+	seconds += move + compute + float64(l.ahead(q.Rank, now))/prefillRate + l.work(now)*runningSeconds
 	cost := b.remoteCost(r) + compute*recomputeWeight + move*moveWeight - credit
 	if q.Newest > r.Version && q.NamedFor > staleAfter {
 		cost += staleSeconds
@@ -242,7 +257,7 @@
 // Sent records that a request was sent to the chosen replica.
 func (b *Balancer) Sent(c Choice, q Request, now time.Duration) {
 	l := b.load(c.Replica.ID)
-	l.unstarted += c.Miss
+	l.unstarted[c.Rank] += c.Miss
 	l.running++
 	l.sentSince++
 	l.circuit.Dispatched()
@@ -265,9 +280,11 @@
 // Started records the first byte of an answer, after a wait.
 func (b *Balancer) Started(c Choice, waited time.Duration, now time.Duration) {
 	l := b.load(c.Replica.ID)
-	l.unstarted = max(l.unstarted-c.Miss, 0)
+	l.started(c)
 	l.circuit = fproute.Circuit{}
-	l.observe((waited - c.Wait).Seconds(), now)
+	if c.Rank != LateRank {
+		l.observe((waited - c.Wait).Seconds(), now)
+	}
 }
 
 // Ended records the end of a request; started says whether Started was called.
@@ -275,7 +292,7 @@
 	l := b.load(c.Replica.ID)
 	l.running = max(l.running-1, 0)
 	if !started {
-		l.unstarted = max(l.unstarted-c.Miss, 0)
+		l.started(c)
 	}
 }
 
@@ -305,12 +322,12 @@
 }
 
 // Heard records work that another host sent to a replica.
-func (b *Balancer) Heard(replica, id string, tokens int, salt string, parts []Part, now time.Duration) {
+func (b *Balancer) Heard(replica, id string, tokens, rank int, salt string, parts []Part, now time.Duration) {
 	l := b.load(replica)
 	if l.others == nil {
 		l.others = make(map[string]heardWork)
 	}
-	l.others[id] = heardWork{tokens: tokens, at: now}
+	l.others[id] = heardWork{tokens: tokens, rank: min(max(rank, 0), LateRank), at: now}
 	for _, p := range parts {
 		b.directory.Stored(replica, salt, p.ID, p.Tokens, false, now)
 	}
--- a/pkg/fpbalance/balancer_test.go
+++ b/pkg/fpbalance/balancer_test.go
@@ -1,6 +1,7 @@
 package fpbalance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -60,7 +61,7 @@
 		}},
 		"a busy holder is copied from": {request: review(), prepare: func(b *Balancer) {
 			b.Directory().Stored("b", "salt", "manual", 13_300, true, start)
-			b.Heard("b", "other", 60_000, "salt", nil, start)
+			b.Heard("b", "other", 60_000, 0, "salt", nil, start)
 		}, check: func(is *is.I, c Choice, err error) {
 			is.NoErr(err)
 			is.Equal(c.Replica.ID, "a")
@@ -69,7 +70,7 @@
 		}},
 		"what was only just sent there is not copied": {request: review(), prepare: func(b *Balancer) {
 			b.Directory().Stored("b", "salt", "manual", 13_300, false, start)
-			b.Heard("b", "other", 60_000, "salt", nil, start)
+			b.Heard("b", "other", 60_000, 0, "salt", nil, start)
 		}, check: func(is *is.I, c Choice, err error) {
 			is.NoErr(err)
 			is.Equal(c.Source, "")
@@ -87,7 +88,7 @@
 		"what can't be answered in time is refused at once": {request: with(review(), func(q *Request) { q.Left = 300 * time.Millisecond }),
 			prepare: func(b *Balancer) {
 				for _, r := range []string{"a", "b", "c"} {
-					b.Heard(r, "other", 100_000, "salt", nil, start)
+					b.Heard(r, "other", 100_000, 0, "salt", nil, start)
 				}
 			},
 			check: func(is *is.I, _ Choice, err error) { is.Equal(err, ErrLate) }},
@@ -114,12 +115,35 @@
 	c, err := b.Choose(replicas, q, Link{}, start)
 	is.NoErr(err)
 	is.Equal(c.Replica.ID, "a")
-	b.Heard("a", "other", 60_000, "", nil, start)
+	b.Heard("a", "other", 60_000, 0, "", nil, start)
 	c, err = b.Choose(replicas, q, Link{}, start)
 	is.NoErr(err)
 	is.Equal(c.Replica.ID, "b")
 }
 
+// TestRanks replays a burst of long requests: short ones of a better rank don't
+// wait behind them, and those that can't be on time go behind those that can.
+func TestRanks(t *testing.T) {
+	is := is.New(t)
+	b := New(Place{Zone: "z1", Region: "r1"})
+	replicas := engines()[:1]
+	long := with(review(), func(q *Request) { q.Rank, q.Objective = 4, 800*time.Millisecond })
+	ranks := make(map[int]int)
+	for i := range 8 {
+		long.Parts = []Part{{ID: fmt.Sprint("manual ", i), Tokens: 13_300}, {ID: "own", Tokens: 3_700}}
+		c, err := b.Choose(replicas, long, Link{}, start)
+		is.NoErr(err)
+		b.Sent(c, long, start)
+		ranks[c.Rank]++
+	}
+	is.True(ranks[4] >= 2)
+	is.True(ranks[LateRank] >= 4)
+	c, err := b.Choose(replicas, with(hint(), func(q *Request) { q.Rank, q.Objective = 3, 500*time.Millisecond }), Link{}, start)
+	is.NoErr(err)
+	is.Equal(c.Rank, 3)
+	is.True(c.Wait < 100*time.Millisecond)
+}
+
 // TestLoadReturns checks that all work that was counted is uncounted.
 func TestLoadReturns(t *testing.T) {
 	is := is.New(t)
@@ -134,7 +158,7 @@
 		b.Ended(c, false)
 	}
 	for id, l := range b.loads {
-		is.Equal(l.unstarted, 0) // of id
+		is.Equal(l.unstarted, [ranks]int{}) // of id
 		is.Equal(l.running, 0)
 		_ = id
 	}
--- a/pkg/fpbalance/load.go
+++ b/pkg/fpbalance/load.go
@@ -21,7 +21,7 @@
 	// load is what a host knows of the work at one replica.
 	load struct {
 		// unstarted holds the prompt tokens of own requests without a first byte.
-		unstarted int
+		unstarted [ranks]int
 		running   int
 		// reported work of all hosts, and own requests sent since.
 		reported  int
@@ -38,6 +38,7 @@
 
 	heardWork struct {
 		tokens int
+		rank   int
 		at     time.Duration
 	}
 )
@@ -52,15 +53,20 @@
 	return max(float64(l.running), float64(l.reported+l.waiting)*fresh+float64(l.sentSince))
 }
 
-// ahead returns the prompt tokens that wait at the replica.
-func (l *load) ahead(now time.Duration) int {
-	sum := l.unstarted
+// ahead returns the prompt tokens that wait at the replica up to a rank.
+func (l *load) ahead(rank int, now time.Duration) int {
+	sum := 0
+	for _, tokens := range l.unstarted[:rank+1] {
+		sum += tokens
+	}
 	for id, w := range l.others {
 		if now-w.at > heardFor {
 			delete(l.others, id)
 			continue
 		}
-		sum += w.tokens
+		if w.rank <= rank {
+			sum += w.tokens
+		}
 	}
 	return sum
 }
@@ -77,6 +83,9 @@
 	return l.delay * (1 - float64(age)/float64(3*delayDecay))
 }
 
+// started uncounts work that no longer waits.
+func (l *load) started(c Choice) { l.unstarted[c.Rank] = max(l.unstarted[c.Rank]-c.Miss, 0) }
+
 func (l *load) observe(beyond float64, now time.Duration) {
 	l.delay = l.lag(now)*(1-delayGain) + max(beyond, 0)*delayGain
 	l.delayAt = now
--- a/pkg/fpbalance/types.go
+++ b/pkg/fpbalance/types.go
@@ -13,6 +13,13 @@
 	ErrLate = errors.New("no replica would answer in the time that is left")
 )
 
+const (
+	// LateRank is the priority of work that is late already: it goes behind all
+	// work that can still be on time.
+	LateRank = 9
+	ranks    = LateRank + 1
+)
+
 type (
 	// Part is a piece of a prompt that other prompts may share.
 	Part struct {
@@ -63,6 +70,8 @@
 		ID     string
 		Parts  []Part
 		Output int
+		// Rank is the priority at the replica, 0 first.
+		Rank int
 		// Salts returns the namespace of cached parts for a version of the weights.
 		Salt func(version int64) string
 		// Newest is the newest version named for the model, and NamedFor how long it has been.
@@ -74,6 +83,8 @@
 		Left time.Duration
 		// Objective is the time within which the first token is worth most.
 		Objective time.Duration
+		// Waited is how long the request has been here.
+		Waited time.Duration
 		// Stores are where cached parts may be fetched from and saved to.
 		Stores []CacheStore
 		// Exclude lists replicas that were tried already.
@@ -91,6 +102,9 @@
 		Source string
 		// Save is the store that is to get the shared parts, nil for none.
 		Save *CacheStore
+		// Rank is the priority that the replica is told: LateRank when the first
+		// token can't come within the objective.
+		Rank int
 		// Wait is the predicted time to the first byte of the answer.
 		Wait  time.Duration
 		Score float64
