Each engine's reading rate is learnt; a prompt being read is not left

Change: the rate is learnt from first tokens; work under way below a rank counts up to half a long prompt; remembered delays stay for plain services alone.

--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -244,5 +244,5 @@
 		"Reason", q.reason, "Took", took.String(), "First", q.first.String(), "Left", (q.ends - now).String(),
 		"ConfigVersion", version, "ProofAge", g.proofAge(now), "Replica", q.choice.Replica.ID,
 		"WeightsVersion", q.choice.Replica.Version, "Predicted", q.choice.Wait.String(),
-		"Rank", q.choice.Rank, "Hit", q.choice.Hit, "Copied", q.choice.Copied, "Miss", q.choice.Miss, "Trail", fmt.Sprint(q.trail))
+		"Rank", q.choice.Rank, "Source", q.choice.Source, "Hit", q.choice.Hit, "Copied", q.choice.Copied, "Miss", q.choice.Miss, "Trail", fmt.Sprint(q.trail))
 }
--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -138,8 +138,11 @@
 	if home && c.Hit == 0 && c.Copied == 0 {
 		credit = homeCredit * float64(c.Miss) / prefillRate
 	}
-	compute := float64(c.Miss) / prefillRate
-	seconds += move + compute + float64(l.ahead(q.Rank, now))/prefillRate + l.work(now)*runningSeconds
+	rate := l.tokensPerSecond()
+	compute := float64(c.Miss) / rate
+	ahead := l.ahead(q.Rank, now) + l.under(q.Rank, now)
+	c.queued, c.base = ahead+c.Miss, seconds+move+l.work(now)*runningSeconds
+	seconds = c.base + float64(c.queued)/rate
 	cost := b.remoteCost(r) + compute*recomputeWeight + move*moveWeight - credit
 	if q.Newest > r.Version && q.NamedFor > staleAfter {
 		cost += staleSeconds
@@ -282,8 +285,10 @@
 	l := b.load(c.Replica.ID)
 	l.started(c)
 	l.circuit = fproute.Circuit{}
-	if c.Rank != LateRank {
+	if !c.Replica.Engine {
 		l.observe((waited - c.Wait).Seconds(), now)
+	} else if c.Rank != LateRank {
+		l.learnRate(c.queued, waited.Seconds()-c.base)
 	}
 }
 
--- a/pkg/fpbalance/load.go
+++ b/pkg/fpbalance/load.go
@@ -13,6 +13,16 @@
 	delayDecay = 700 * time.Millisecond
 	// heardFor bounds the belief in another host's work whose begin was not heard of.
 	heardFor = 3 * time.Second
+	// begunTokens is what is left, on average, of a long prompt that is being read.
+	begunTokens = 8_000
+	// rateTokens is the least work from which a replica's rate is learnt.
+	rateTokens = 8_000
+	// rateGain is the weight of the newest observation of a rate.
+	rateGain = 0.1
+	// minRate and maxRate bound a rate, in tokens a second, around those of the
+	// users' engines (64,000 with all that a step takes).
+	minRate = 8_000
+	maxRate = 250_000
 	// delayGain is the weight of the newest observation.
 	delayGain = 0.3
 )
@@ -32,6 +42,8 @@
 		delay   float64
 		delayAt time.Duration
 		circuit fproute.Circuit
+		// rate is the prompt tokens a second that the replica was seen to read, 0 if unseen.
+		rate float64
 		// others holds the tokens that other hosts have sent here, by request.
 		others map[string]heardWork
 	}
@@ -83,6 +95,29 @@
 	return l.delay * (1 - float64(age)/float64(3*delayDecay))
 }
 
+// under returns the tokens of the work below a rank that may be under way: an
+// engine does not leave a prompt that it has begun to read.
+func (l *load) under(rank int, now time.Duration) int {
+	return min(l.ahead(LateRank, now)-l.ahead(rank, now), begunTokens)
+}
+
+// tokensPerSecond returns the rate at which the replica reads prompts.
+func (l *load) tokensPerSecond() float64 {
+	if l.rate == 0 {
+		return prefillRate
+	}
+	return l.rate
+}
+
+// learnRate takes in how long reading so many tokens took.
+func (l *load) learnRate(tokens int, seconds float64) {
+	if tokens < rateTokens {
+		return
+	}
+	seen := float64(tokens) / max(seconds, float64(tokens)/maxRate)
+	l.rate = max(l.tokensPerSecond()*(1-rateGain)+seen*rateGain, minRate)
+}
+
 // started uncounts work that no longer waits.
 func (l *load) started(c Choice) { l.unstarted[c.Rank] = max(l.unstarted[c.Rank]-c.Miss, 0) }
 
--- a/pkg/fpbalance/types.go
+++ b/pkg/fpbalance/types.go
@@ -108,5 +108,9 @@
 		// Wait is the predicted time to the first byte of the answer.
 		Wait  time.Duration
 		Score float64
+		// queued is the number of tokens that the replica reads before the first
+		// one of the answer, base the part of Wait that is not reading.
+		queued int
+		base   float64
 	}
 )
