--- a/pkg/fpbalance/balancer_test.go
+++ b/pkg/fpbalance/balancer_test.go
@@ -81,17 +81,23 @@
 			is.NoErr(err)
 			is.Equal(c.Hit+c.Copied, 0)
 		}},
-		"replicas that load weights get nothing": {request: with(hint(), func(q *Request) { q.Exclude = []string{"a", "b", "c"} }),
-			check: func(is *is.I, _ Choice, err error) { is.Equal(err, ErrNoReplica) }},
-		"weights beyond their time are not used": {request: with(hint(), func(q *Request) { q.Oldest = 2 }),
-			check: func(is *is.I, _ Choice, err error) { is.Equal(err, ErrNoReplica) }},
-		"what can't be answered in time is refused at once": {request: with(review(), func(q *Request) { q.Left = 300 * time.Millisecond }),
+		"replicas that load weights get nothing": {
+			request: with(hint(), func(q *Request) { q.Exclude = []string{"a", "b", "c"} }),
+			check:   func(is *is.I, _ Choice, err error) { is.Equal(err, ErrNoReplica) },
+		},
+		"weights beyond their time are not used": {
+			request: with(hint(), func(q *Request) { q.Oldest = 2 }),
+			check:   func(is *is.I, _ Choice, err error) { is.Equal(err, ErrNoReplica) },
+		},
+		"what can't be answered in time is refused at once": {
+			request: with(review(), func(q *Request) { q.Left = 300 * time.Millisecond }),
 			prepare: func(b *Balancer) {
 				for _, r := range []string{"a", "b", "c"} {
 					b.Heard(r, "other", 100_000, 0, "salt", nil, start)
 				}
 			},
-			check: func(is *is.I, _ Choice, err error) { is.Equal(err, ErrLate) }},
+			check: func(is *is.I, _ Choice, err error) { is.Equal(err, ErrLate) },
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
