Fewer calls to the store: events gather for half a second

Change: events gather for 0.5 s instead of 0.15 s; a watch waits a quarter of the time in which a revoked key must be refused.

--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -27,6 +27,8 @@
 	memoryShare = 0.7
 	// tick is the pace at which the picture for traffic is renewed without news.
 	tick = 500 * time.Millisecond
+	// watchShare of the time in which a revoked key must be refused is what one watch may wait.
+	watchShare = 4
 )
 
 type (
@@ -108,7 +110,11 @@
 	defer cancel()
 	g.openPeers()
 	var r run.Group
-	follower := &fpstore.Follower{Store: g.store, Clock: g.clock, Deliver: g.deliver}
+	follower := &fpstore.Follower{
+		Store: g.store, Clock: g.clock, Deliver: g.deliver,
+		// Two watches in a row must prove that no key was taken away.
+		Wait: g.settings().Fresh.Revoke / watchShare,
+	}
 	rollout := newRollout(g)
 	for _, f := range []func(context.Context) error{
 		g.queue.Run, g.control, follower.Run, g.register, rollout.run, g.readEvents, g.receiveNotices, g.reload,
--- a/internal/fpstore/follower.go
+++ b/internal/fpstore/follower.go
@@ -10,17 +10,15 @@
 )
 
 const (
-	// watchWait is how long a watch waits for an event. A waiting watch proves
-	// nothing of the store's present state, so it is short against the time in
-	// which a revoked key must be refused (5 s in the users' bounds).
-	watchWait = 900 * time.Millisecond
+	// defaultWait is how long a watch waits for an event unless told otherwise.
+	defaultWait = 1500 * time.Millisecond
 	// watchSlack is what a watch may take beyond its wait before it counts as lost.
 	watchSlack = 700 * time.Millisecond
 	// rangeTimeout bounds the reading of one page.
 	rangeTimeout = 2 * time.Second
 	// gather is the pause after a batch of events, so that changes in quick
 	// succession cost one call and not one each.
-	gather = 150 * time.Millisecond
+	gather = 500 * time.Millisecond
 	// firstBackoff and lastBackoff bound the pause after a failed call.
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = 500 * time.Millisecond
@@ -42,6 +40,9 @@
 		Store  Store
 		Prefix string
 		Clock  fpclock.Clock
+		// Wait is how long a watch waits for an event, 0 for the default. A waiting
+		// watch proves nothing of the store's present state.
+		Wait time.Duration
 		// Deliver is called from Run with each update, in order.
 		Deliver func(Update)
 	}
@@ -84,9 +85,13 @@
 		return f.list(ctx)
 	}
 	sent := f.Clock()
-	watchCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	wait := f.Wait
+	if wait == 0 {
+		wait = defaultWait
+	}
+	watchCtx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	items, revision, err := f.Store.Watch(watchCtx, f.Prefix, after, watchWait)
+	items, revision, err := f.Store.Watch(watchCtx, f.Prefix, after, wait)
 	return Update{Items: items, Revision: max(revision, after), Sent: sent, Err: err}
 }
 
