One host of its region reads an engine's cache events and tells the others

Change: the reader is chosen by rendezvous among the hosts of the engine's region; changes of long parts go to the hosts that are told of work.

--- a/internal/fpgateway/events.go
+++ b/internal/fpgateway/events.go
@@ -6,7 +6,9 @@
 
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/internal/fpconn"
+	"github.com/fescuepoint/fescuepoint/internal/fpnotice"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
+	"github.com/fescuepoint/fescuepoint/pkg/fproute"
 )
 
 const (
@@ -20,12 +22,13 @@
 	eventsRetry = time.Second
 	// readersEvery is the pace at which the set of readers is renewed.
 	readersEvery = time.Second
-	// readersSpare is left of the readers that a replica takes, for hosts that are just starting.
-	readersSpare = 2
+	// heldInNotice bounds the parts in a notice, some 70 bytes each, to the size of a datagram.
+	heldInNotice = 14
+	// maxPartTokens is more than any part has.
+	maxPartTokens = 1 << 30
 )
 
-// readEvents keeps a reader of cache events at each engine, as far as the
-// engines take a reader from each host.
+// readEvents keeps a reader of cache events at each engine that is this host's to read.
 func (g *Gateway) readEvents(ctx context.Context) error {
 	readers := make(map[string]context.CancelFunc)
 	defer func() {
@@ -53,7 +56,8 @@
 	return nil
 }
 
-// readable returns the engines whose events this host reads, by ID and address.
+// readable returns the engines and stores whose events this host reads, by ID
+// and address.
 func (g *Gateway) readable() map[string]fpbalance.Replica {
 	s := g.state.Load()
 	out := make(map[string]fpbalance.Replica)
@@ -61,17 +65,16 @@
 		return out
 	}
 	for _, c := range s.stores {
-		if service := s.catalog.Service(c.ID); service != nil && s.hosts <= service.Cache.EventReaders-readersSpare {
+		if s.reader(c.ID, c.Region) == g.settings().Host {
 			out[c.ID+"@"+c.Address] = fpbalance.Replica{ID: c.ID, Address: c.Address}
 		}
 	}
 	for name, replicas := range s.services {
-		service := s.catalog.Service(name)
-		if service == nil || service.Engine == nil || s.hosts > service.Engine.EventReaders-readersSpare {
+		if service := s.catalog.Service(name); service == nil || service.Engine == nil {
 			continue
 		}
 		for _, r := range replicas {
-			if r.Engine {
+			if r.Engine && s.reader(r.ID, r.Region) == g.settings().Host {
 				out[r.ID+"@"+r.Address] = r
 			}
 		}
@@ -79,6 +82,19 @@
 	return out
 }
 
+// reader returns the host that reads a replica's events for all: one of its
+// region where there is any, the same for every host that knows the same hosts.
+func (s *snapshot) reader(id, region string) string {
+	names := s.regions[region]
+	if len(names) == 0 {
+		names = s.names
+	}
+	if i := fproute.Owner(id, names); i >= 0 {
+		return names[i]
+	}
+	return ""
+}
+
 // follow reads a replica's events until the context ends.
 func (g *Gateway) follow(ctx context.Context, r fpbalance.Replica) {
 	since := int64(0)
@@ -110,18 +126,37 @@
 	return g.dialect.Events(a.Status, body)
 }
 
-// took takes in events of a replica's cache.
+// took takes in events of a replica's cache, and tells the other hosts of
+// the parts that are worth a move.
 func (g *Gateway) took(r fpbalance.Replica, e CacheEvents) {
+	told := g.applyEvents(r, e)
+	to := g.state.Load().near
+	for len(told) > 0 {
+		n := min(len(told), heldInNotice)
+		g.tell(to, fpnotice.Notice{Cache: &fpnotice.Cache{Replica: r.ID, Epoch: e.Epoch, Parts: told[:n]}})
+		told = told[n:]
+	}
+}
+
+// applyEvents applies events to the directory and returns those about long parts.
+func (g *Gateway) applyEvents(r fpbalance.Replica, e CacheEvents) []fpnotice.Held {
 	now := g.clock()
+	var told []fpnotice.Held
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	d := g.balancer.Directory()
 	d.Epoch(r.ID, e.Epoch)
 	for _, v := range e.Events {
+		part := []fpbalance.Part{{ID: v.Part, Tokens: maxPartTokens}}
+		long := v.Tokens >= tellTokens || d.Leading(r.ID, v.Salt, part, now) >= tellTokens
 		if v.Stored {
 			d.Stored(r.ID, v.Salt, v.Part, v.Tokens, true, now)
 		} else {
 			d.Evicted(r.ID, v.Salt, v.Part, v.Tokens, now)
 		}
+		if long {
+			told = append(told, fpnotice.Held{Salt: v.Salt, ID: v.Part, Tokens: v.Tokens})
+		}
 	}
+	return told
 }
--- a/internal/fpgateway/peers.go
+++ b/internal/fpgateway/peers.go
@@ -69,6 +69,25 @@
 	if w := n.Work; w != nil {
 		g.heardWork(w)
 	}
+	if c := n.Cache; c != nil {
+		g.heardCache(c)
+	}
+}
+
+// heardCache takes in what another host read of a replica's cache.
+func (g *Gateway) heardCache(c *fpnotice.Cache) {
+	now := g.clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d := g.balancer.Directory()
+	d.Epoch(c.Replica, c.Epoch)
+	for _, p := range c.Parts {
+		if p.Tokens >= tellTokens {
+			d.Stored(c.Replica, p.Salt, p.ID, p.Tokens, true, now)
+		} else {
+			d.Evicted(c.Replica, p.Salt, p.ID, p.Tokens, now)
+		}
+	}
 }
 
 func (g *Gateway) heardWork(w *fpnotice.Work) {
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -58,6 +58,9 @@
 		weights  map[string][]namedWeights
 		stores   []fpbalance.CacheStore
 		hosts    int
+		// names are the hosts, and regions those of each region, sorted.
+		names   []string
+		regions map[string][]string
 		// all and near are the hosts that are told of weights and of requests.
 		all      []*net.UDPAddr
 		near     []*net.UDPAddr
@@ -272,7 +275,11 @@
 	}
 	s.stores = c.stores()
 	s.hosts = len(c.hosts)
-	for name, h := range c.hosts {
+	s.regions = make(map[string][]string)
+	s.names = slices.Sorted(maps.Keys(c.hosts))
+	for _, name := range s.names {
+		h := c.hosts[name]
+		s.regions[h.region] = append(s.regions[h.region], name)
 		if name == c.gateway.settings().Host || h.address == nil {
 			continue
 		}
--- a/internal/fpnotice/notice.go
+++ b/internal/fpnotice/notice.go
@@ -49,12 +49,27 @@
 		AgeMs   int64
 	}
 
+	// Held is how many tokens of a part a replica holds now.
+	Held struct {
+		Salt   string
+		ID     string
+		Tokens int
+	}
+
+	// Cache tells what changed in a replica's cache; Epoch changes when it restarts.
+	Cache struct {
+		Replica string
+		Epoch   int64
+		Parts   []Held
+	}
+
 	// Notice is one datagram.
 	Notice struct {
 		Host    string
 		Work    *Work    `json:",omitempty"`
 		Weights *Weights `json:",omitempty"`
 		Named   *Named   `json:",omitempty"`
+		Cache   *Cache   `json:",omitempty"`
 	}
 
 	// Socket sends and receives notices.
