--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,15 @@
-.PHONY: build run test report bench generate
+.PHONY: setup build run test report bench generate
 
-build:
+setup:
+	bash scripts/setup.sh
+
+build: setup
 	go build -o bin/ ./cmd/...
 
 run: build
 	KEEP=$(KEEP) bash scripts/run.sh
 
-test:
+test: setup
 	bash scripts/test.sh
 
 report: build
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -124,8 +124,10 @@
 	}
 	callers := g.newServer(g.settings().Callers, g)
 	servers := []*server{callers, g.newServer(g.settings().Ready, g.readyHandler())}
-	if g.settings().Control != "" {
-		servers = append(servers, g.newServer(g.settings().Control, g.metricsHandler()))
+	if g.settings().Metrics != "" {
+		m := g.newServer(g.settings().Metrics, g.metricsHandler())
+		m.optional = true
+		servers = append(servers, m)
 	}
 	for _, s := range servers {
 		r.Add(s.serve, func(error) { s.close() })
--- a/internal/fpgateway/gateway_test.go
+++ b/internal/fpgateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -316,6 +317,22 @@
 	}, "the request's line")
 }
 
+// TestMetrics checks that counters and latency histograms of a team and route are served.
+func TestMetrics(t *testing.T) {
+	w := newWorld(t)
+	w.ask("call", nil)
+	w.await(func() bool {
+		res, err := http.Get("http://" + w.settings.Metrics + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = res.Body.Close() }()
+		text, err := io.ReadAll(res.Body)
+		return err == nil && strings.Contains(string(text), `fescuepoint_request_seconds_bucket{team="team",class="call"`) &&
+			strings.Contains(string(text), `fescuepoint_requests_total{team="team",class="call",outcome="answered"`)
+	}, "metrics")
+}
+
 func find(runs []fpfake.Run, id string) *fpfake.Run {
 	for i := range runs {
 		if runs[i].ID == id {
--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -227,6 +227,10 @@
 	if q.state.catalog != nil {
 		version = q.state.catalog.Version()
 	}
+	left := time.Duration(0)
+	if q.ends > 0 {
+		left = q.ends - now
+	}
 	outcome := "answered"
 	switch {
 	case q.http.Context().Err() != nil:
@@ -241,7 +245,7 @@
 		g.metrics.Series(team, route).Ended(outcome, strconv.Itoa(q.status))
 	}
 	g.log("request "+outcome, "RequestID", q.caller.ID, "Route", route, "Team", team, "Status", q.status,
-		"Reason", q.reason, "Took", took.String(), "First", q.first.String(), "Left", (q.ends - now).String(),
+		"Reason", q.reason, "Took", took.String(), "First", q.first.String(), "Left", left.String(),
 		"ConfigVersion", version, "ProofAge", g.proofAge(now), "Replica", q.choice.Replica.ID,
 		"WeightsVersion", q.choice.Replica.Version, "Predicted", q.choice.Wait.String(),
 		"Rank", q.choice.Rank, "Source", q.choice.Source, "Hit", q.choice.Hit, "Copied", q.choice.Copied, "Miss", q.choice.Miss, "Trail", fmt.Sprint(q.trail))
--- a/internal/fpgateway/serve.go
+++ b/internal/fpgateway/serve.go
@@ -29,6 +29,8 @@
 	server struct {
 		gateway *Gateway
 		http    *http.Server
+		// optional servers that can't listen don't end the host.
+		optional bool
 	}
 )
 
@@ -45,6 +47,11 @@
 // serve listens and serves; after a planned stop it waits for the run group to end.
 func (s *server) serve() error {
 	l, err := net.Listen("tcp", s.http.Addr)
+	if err != nil && s.optional {
+		s.gateway.log("not listening", "Address", s.http.Addr, "Error", err.Error())
+		<-s.gateway.stopped
+		return nil
+	}
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
--- a/internal/fpgateway/settings.go
+++ b/internal/fpgateway/settings.go
@@ -24,10 +24,10 @@
 		Place fpbalance.Place
 		// Zones holds the region of each availability zone.
 		Zones map[string]string
-		// Callers, Ready, Control and Store are addresses; Control serves metrics.
+		// Callers, Ready, Metrics and Store are addresses; without Metrics none are served.
 		Callers string
 		Ready   string
-		Control string
+		Metrics string
 		Store   string
 		// PeerPort is a port for datagrams between hosts, 0 for none.
 		PeerPort    int
@@ -69,6 +69,6 @@
 // taken from newer ones.
 func (s Settings) WithReloaded(n Settings) Settings {
 	n.Host, n.Place = s.Host, s.Place
-	n.Callers, n.Ready, n.Control, n.Store, n.PeerPort = s.Callers, s.Ready, s.Control, s.Store, s.PeerPort
+	n.Callers, n.Ready, n.Metrics, n.Store, n.PeerPort = s.Callers, s.Ready, s.Metrics, s.Store, s.PeerPort
 	return n
 }
--- a/internal/fpgateway/world_test.go
+++ b/internal/fpgateway/world_test.go
@@ -129,7 +129,7 @@
 	}
 	w.settings = fpgateway.Settings{
 		Host: "h1", Place: fpbalance.Place{Zone: "z1", Region: "r1"}, Zones: map[string]string{"z1": "r1"},
-		Callers: freeAddress(t), Ready: freeAddress(t), Control: freeAddress(t), Store: w.store.Address(),
+		Callers: freeAddress(t), Ready: freeAddress(t), Metrics: freeAddress(t), Store: w.store.Address(),
 		Fresh: fpfresh.Bounds{Revoke: 5 * time.Second, Apply: 3 * time.Second},
 		Retry: fplimit.RetryRule{Ratio: 0.2, Slack: 60, Window: 10 * time.Second},
 		Grace: 8 * time.Second, Notice: 50 * time.Millisecond, OldWeights: 15 * time.Second,
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 
 echo "== formatter"
-unformatted=$(go tool gofumpt -l cmd internal pkg | grep -v -E '\.pb\.go$|\.connect\.go$' || true)
+unformatted=$(go tool gofumpt -l cmd internal pkg platform | grep -v -E '\.pb\.go$|\.connect\.go$' || true)
 if [ -n "$unformatted" ]; then
   echo "not formatted: $unformatted" >&2
   exit 1
