--- a/internal/fpstore/fpstoretest/run.go
+++ b/internal/fpstore/fpstoretest/run.go
@@ -30,7 +30,7 @@
 
 // Run plays the port's contract on fresh stores.
 func Run(t *testing.T, open func(*testing.T) (fpstore.Store, Control)) {
-	tests := map[string]func(*is.I, context.Context, fpstore.Store, Control){
+	tests := map[string]func(context.Context, *is.I, fpstore.Store, Control){
 		"read and write":       readAndWrite,
 		"conditions":           conditions,
 		"pages":                pages,
@@ -45,7 +45,7 @@
 			s, c := open(t)
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 			defer cancel()
-			test(is.New(t), ctx, s, c)
+			test(ctx, is.New(t), s, c)
 		})
 	}
 }
@@ -54,7 +54,7 @@
 	return fpstore.Transaction{Puts: []fpstore.Put{{Key: key, Value: []byte(value)}}}
 }
 
-func readAndWrite(is *is.I, ctx context.Context, s fpstore.Store, _ Control) {
+func readAndWrite(ctx context.Context, is *is.I, s fpstore.Store, _ Control) {
 	_, err := s.Get(ctx, "k")
 	is.True(errors.Is(err, fpstore.ErrMissing))
 	revision, err := s.Commit(ctx, put("k", "\x00binary"))
@@ -69,7 +69,7 @@
 	is.True(errors.Is(err, fpstore.ErrMissing))
 }
 
-func conditions(is *is.I, ctx context.Context, s fpstore.Store, _ Control) {
+func conditions(ctx context.Context, is *is.I, s fpstore.Store, _ Control) {
 	create := put("k", "1")
 	create.Conditions = []fpstore.Condition{{Key: "k"}}
 	revision, err := s.Commit(ctx, create)
@@ -84,7 +84,7 @@
 	is.True(errors.Is(err, fpstore.ErrConflict))
 }
 
-func pages(is *is.I, ctx context.Context, s fpstore.Store, _ Control) {
+func pages(ctx context.Context, is *is.I, s fpstore.Store, _ Control) {
 	const keys = 620
 	for i := range keys {
 		_, err := s.Commit(ctx, put(fmt.Sprintf("p/%04d", i), "v"))
@@ -103,7 +103,7 @@
 	is.Equal(seen, keys)
 }
 
-func watch(is *is.I, ctx context.Context, s fpstore.Store, _ Control) {
+func watch(ctx context.Context, is *is.I, s fpstore.Store, _ Control) {
 	after, err := s.Commit(ctx, put("w", "1"))
 	is.NoErr(err)
 	began := time.Now()
@@ -123,7 +123,7 @@
 	is.Equal(revision, last)
 }
 
-func forgotten(is *is.I, ctx context.Context, s fpstore.Store, c Control) {
+func forgotten(ctx context.Context, is *is.I, s fpstore.Store, c Control) {
 	after, err := s.Commit(ctx, put("a", "1"))
 	is.NoErr(err)
 	_, err = s.Commit(ctx, put("b", "1"))
@@ -133,7 +133,7 @@
 	is.True(errors.Is(err, fpstore.ErrCompacted))
 }
 
-func leases(is *is.I, ctx context.Context, s fpstore.Store, _ Control) {
+func leases(ctx context.Context, is *is.I, s fpstore.Store, _ Control) {
 	id, err := s.Grant(ctx, 200*time.Millisecond)
 	is.NoErr(err)
 	bound := fpstore.Transaction{Puts: []fpstore.Put{{Key: "l", Value: []byte("v"), Lease: id}}}
@@ -157,7 +157,7 @@
 	is.True(errors.Is(s.KeepAlive(ctx, id), fpstore.ErrLeaseGone))
 }
 
-func refusal(is *is.I, ctx context.Context, s fpstore.Store, c Control) {
+func refusal(ctx context.Context, is *is.I, s fpstore.Store, c Control) {
 	c.Refuse(true)
 	_, err := s.Commit(ctx, put("k", "1"))
 	is.True(errors.Is(err, fpstore.ErrRefused))
@@ -172,7 +172,7 @@
 	is.True(errors.Is(err, fpstore.ErrMissing))
 }
 
-func lost(is *is.I, ctx context.Context, s fpstore.Store, c Control) {
+func lost(ctx context.Context, is *is.I, s fpstore.Store, c Control) {
 	c.Lose(true)
 	create := put("k", "mine")
 	create.Conditions = []fpstore.Condition{{Key: "k"}}
