Large fleets: unknown load of other regions weighs; store events gather for 1 s

Cause: beyond 16 hosts nothing is heard of work sent to other regions, and their replicas looked idle; each change of an entry woke every host's watch. Change: 0.15 s are added for such a region; changes gather for 1 s above 16 hosts.

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -100,6 +100,7 @@
 		Rank:      q.route.Rank(q.team),
 		Exclude:   q.excluded,
 		Stores:    q.stores(),
+		Blind:     q.state.hosts > maxToldHosts,
 	}
 	if n := q.state.newest(q.caller.Model); n.version > 0 {
 		w.Newest, w.NamedFor = n.version, now-n.since
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -27,6 +27,11 @@
 	memoryShare = 0.7
 	// tick is the pace at which the picture for traffic is renewed without news.
 	tick = 500 * time.Millisecond
+	// gatherFew and gatherMany are far below the 3 and 4 s in which the users want
+	// a change in force; manyHosts is where the calls of watches begin to weigh.
+	gatherFew  = 500 * time.Millisecond
+	gatherMany = time.Second
+	manyHosts  = 16
 	// watchShare of the time in which a revoked key must be refused is what one watch may wait.
 	watchShare = 4
 )
@@ -113,7 +118,8 @@
 	follower := &fpstore.Follower{
 		Store: g.store, Clock: g.clock, Deliver: g.deliver,
 		// Two watches in a row must prove that no key was taken away.
-		Wait: g.settings().Fresh.Revoke / watchShare,
+		Wait:   g.settings().Fresh.Revoke / watchShare,
+		Gather: func() time.Duration { return gatherFor(g.state.Load().hosts) },
 	}
 	rollout := newRollout(g)
 	for _, f := range []func(context.Context) error{
@@ -140,6 +146,15 @@
 	return errors.Wrap(err, "gateway")
 }
 
+// gatherFor returns how long changes of the store gather: longer in a large
+// fleet, in which each change wakes every host's watch and entries change often.
+func gatherFor(hosts int) time.Duration {
+	if hosts > manyHosts {
+		return gatherMany
+	}
+	return gatherFew
+}
+
 // deliver hands the store's news to the control goroutine, and its proof to traffic.
 func (g *Gateway) deliver(u fpstore.Update) {
 	done := make(chan struct{})
--- a/internal/fpstore/follower.go
+++ b/internal/fpstore/follower.go
@@ -16,9 +16,9 @@
 	watchSlack = 700 * time.Millisecond
 	// rangeTimeout bounds the reading of one page.
 	rangeTimeout = 2 * time.Second
-	// gather is the pause after a batch of events, so that changes in quick
+	// defaultGather is the pause after a batch of events, so that changes in quick
 	// succession cost one call and not one each.
-	gather = 500 * time.Millisecond
+	defaultGather = 500 * time.Millisecond
 	// firstBackoff and lastBackoff bound the pause after a failed call.
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = 500 * time.Millisecond
@@ -43,6 +43,8 @@
 		// Wait is how long a watch waits for an event, 0 for the default. A waiting
 		// watch proves nothing of the store's present state.
 		Wait time.Duration
+		// Gather returns the pause after a batch of events; nil means the default.
+		Gather func() time.Duration
 		// Deliver is called from Run with each update, in order.
 		Deliver func(Update)
 	}
@@ -51,6 +53,10 @@
 // Run reads the range once and then watches it, until the context ends. The
 // range is read anew when the store has dropped the history in between.
 func (f *Follower) Run(ctx context.Context) error {
+	gather := f.Gather
+	if gather == nil {
+		gather = func() time.Duration { return defaultGather }
+	}
 	after := int64(-1)
 	backoff := firstBackoff
 	for ctx.Err() == nil {
@@ -72,7 +78,7 @@
 			after = u.Revision
 		}
 		backoff = firstBackoff
-		if len(u.Items) > 0 && !u.Complete && !fpclock.Sleep(ctx, gather) {
+		if len(u.Items) > 0 && !u.Complete && !fpclock.Sleep(ctx, gather()) {
 			return nil
 		}
 	}
--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -26,6 +26,8 @@
 	// remoteBytesSeconds is what the bytes of a request to another region cost
 	// beside the time.
 	remoteBytesSeconds = 0.02
+	// blindSeconds is added for a region whose load is not heard of.
+	blindSeconds = 0.15
 	// recomputeWeight is what a computed token costs others that wait behind it.
 	recomputeWeight = 1.5
 	// homeCredit is the part of a prompt that the home of its first part is
@@ -144,6 +146,9 @@
 	c.queued, c.base = ahead+c.Miss, seconds+move+l.work(now)*runningSeconds
 	seconds = c.base + float64(c.queued)/rate
 	cost := b.remoteCost(r) + compute*recomputeWeight + move*moveWeight - credit
+	if q.Blind && r.Region != b.place.Region {
+		cost += blindSeconds
+	}
 	if q.Newest > r.Version && q.NamedFor > staleAfter {
 		cost += staleSeconds
 	}
--- a/pkg/fpbalance/types.go
+++ b/pkg/fpbalance/types.go
@@ -87,6 +87,8 @@
 		Waited time.Duration
 		// Stores are where cached parts may be fetched from and saved to.
 		Stores []CacheStore
+		// Blind says that nothing is heard of the work sent to other regions.
+		Blind bool
 		// Exclude lists replicas that were tried already.
 		Exclude []string
 	}
