--- /dev/null
+++ b/cmd/fescuesoak/main.go
@@ -0,0 +1,85 @@
+// Command fescuesoak runs the daemon under seeded faults and checks its promises.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/fescuepoint/fescuepoint/platform/fpsoak"
+)
+
+type arguments struct {
+	Daemon  string        `help:"The daemon's program." default:"bin/fescuepointd" type:"path"`
+	Folder  string        `help:"Folder for settings and logs, one a seed." default:"run/soak" type:"path"`
+	First   uint64        `help:"First seed; 0 takes one from the clock." default:"1"`
+	Seeds   int           `help:"Number of seeds." default:"1"`
+	Beside  int           `help:"Seeds that run at the same time." default:"1"`
+	Hosts   int           `help:"Hosts, one process each." default:"3"`
+	Callers int           `help:"Callers." default:"8"`
+	Faults  time.Duration `help:"How long faults are injected." default:"8s"`
+}
+
+func main() {
+	var a arguments
+	kong.Parse(&a, kong.Name("fescuesoak"), kong.Description("Runs the daemon under seeded faults and checks its promises."))
+	if a.First == 0 {
+		a.First = uint64(time.Now().UnixNano()) % 1_000_000
+	}
+	failed := a.run()
+	fmt.Printf("%d passed, %d failed\n", a.Seeds-failed, failed)
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+// run plays all seeds and returns the number that failed.
+func (a arguments) run() int {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	failed := 0
+	seeds := make(chan uint64)
+	for range max(a.Beside, 1) {
+		group.Go(func() {
+			for seed := range seeds {
+				ok := a.play(seed)
+				mu.Lock()
+				if !ok {
+					failed++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for i := range a.Seeds {
+		seeds <- a.First + uint64(i)
+	}
+	close(seeds)
+	group.Wait()
+	return failed
+}
+
+func (a arguments) play(seed uint64) bool {
+	folder := filepath.Join(a.Folder, fmt.Sprint(seed))
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	r, err := fpsoak.Run(context.Background(), fpsoak.Options{
+		Seed: seed, Daemon: a.Daemon, Folder: folder, Hosts: a.Hosts, Callers: a.Callers, Faults: a.Faults,
+	})
+	if err != nil {
+		fmt.Printf("seed %d: %v\n", seed, err)
+		return false
+	}
+	fmt.Printf("seed %d: %d attempts, %d served, %d runs, %d promises broken\n", r.Seed, r.Attempts, r.Served, r.Runs, len(r.Broken))
+	for _, b := range r.Broken {
+		fmt.Printf("seed %d: %s\n", seed, b)
+	}
+	return len(r.Broken) == 0
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -44,3 +44,6 @@
 echo "== the whole path in separate processes"
 go build -o bin/ ./cmd/...
 bash scripts/run.sh
+
+echo "== soak, two seeds"
+bin/fescuesoak --first 1 --seeds 2 --beside 2 --faults 4s
