A forgotten history is no outage; what is known of gone replicas is dropped

Cause: read as a newcomer: a 410 counted as the store being away, so that replicas that had left in the gap were kept for 2 s more; maps of replicas only grew; a refusal for a long queue named a pause unrelated to the queue. Change: the list is read anew at once; replicas off the list are forgotten; Retry-After is the time until the queue is short enough.

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -56,7 +56,7 @@
 		}
 		c, err := q.choose()
 		if err != nil {
-			q.refuse(err.Error(), q.retryAfter())
+			q.refuse(err.Error(), max(c.Wait-q.route.Objective, q.retryAfter()))
 			return
 		}
 		if q.sends > 0 && !g.retry(q.service.Name, q.state.hosts) {
@@ -139,7 +139,8 @@
 	return fpbalance.Link{BytesPerToken: e.BytesPerToken, Megabits: e.LinkMegabits}
 }
 
-// retryAfter returns when a refused caller is likely to find a place.
+// retryAfter returns the least pause asked of a refused caller; where a queue is
+// the reason, the time until it is short enough is asked for.
 func (q *request) retryAfter() time.Duration { return max(q.route.Objective/4, minRetryAfter) }
 
 // attempt sends the request to one replica and relays its answer.
--- a/internal/fpgateway/log.go
+++ b/internal/fpgateway/log.go
@@ -71,8 +71,12 @@
 
 // forget drops what is believed of an earlier start of a replica.
 func (g *Gateway) forget(r fpfleet.Replica) {
-	g.mu.Lock()
-	g.balancer.Forget(r.ID)
-	g.mu.Unlock()
+	g.forgetID(r.ID)
 	g.pool.Forget(r.Address)
 }
+
+func (g *Gateway) forgetID(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.Forget(id)
+}
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuepoint/fescuepoint/internal/fpnotice"
 	"github.com/fescuepoint/fescuepoint/internal/fpstore"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
@@ -85,6 +87,11 @@
 
 // update takes in news of the store.
 func (c *control) update(u fpstore.Update, now time.Duration) {
+	if errors.Is(u.Err, fpstore.ErrCompacted) {
+		// The store is there; the list is read anew next.
+		c.gateway.log("history forgotten", "ProofAge", c.gateway.proofAge(now))
+		return
+	}
 	if u.Err != nil {
 		c.lost(u.Err, now)
 		return
@@ -288,6 +295,7 @@
 			s.near = append(s.near, h.address)
 		}
 	}
+	c.prune(s.members)
 	for _, r := range s.members {
 		if !r.Draining {
 			s.services[r.Service] = append(s.services[r.Service], c.member(r, now))
@@ -296,6 +304,25 @@
 	return s
 }
 
+// prune drops what is known of replicas that are gone.
+func (c *control) prune(members []fpfleet.Replica) {
+	if len(c.born) <= len(members) {
+		return
+	}
+	listed := make(map[string]bool, len(members))
+	for _, r := range members {
+		listed[r.ID] = true
+	}
+	for id := range c.born {
+		if !listed[id] {
+			delete(c.born, id)
+			delete(c.learnt, id)
+			delete(c.loading, id)
+			c.gateway.forgetID(id)
+		}
+	}
+}
+
 // stores returns the stores of KV cache that the configuration names.
 func (c *control) stores() []fpbalance.CacheStore {
 	if c.catalog == nil {
--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -14,8 +14,8 @@
 	// 1,024 at the lower of the users' two rates (112 tokens a millisecond), with a
 	// step's 3.4 ms and the work on the pairs of tokens.
 	prefillRate = 64_000
-	// stepSeconds is the time between two tokens that running work adds to a new
-	// request's first one (the users' engines: 3.4 ms a step and 0.1 ms a request).
+	// runningSeconds is what each request at an engine adds to a new one's wait: a
+	// step of 3.4 ms and its share of the steps around (users' engines).
 	runningSeconds = 0.006
 	// plainSeconds is the work of a plain request (15 to 30 ms in the users' tables).
 	plainSeconds = 0.025
--- a/pkg/fpbalance/types.go
+++ b/pkg/fpbalance/types.go
@@ -72,7 +72,7 @@
 		Output int
 		// Rank is the priority at the replica, 0 first.
 		Rank int
-		// Salts returns the namespace of cached parts for a version of the weights.
+		// Salt returns the namespace of cached parts for a version of the weights.
 		Salt func(version int64) string
 		// Newest is the newest version named for the model, and NamedFor how long it has been.
 		Newest   int64
