--- a/internal/fpgateway/events.go
+++ b/internal/fpgateway/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
@@ -130,14 +131,37 @@
 // the parts that are worth a move.
 func (g *Gateway) took(r fpbalance.Replica, e CacheEvents) {
 	told := g.applyEvents(r, e)
-	to := g.state.Load().near
+	s := g.state.Load()
+	relays := s.relays(r.ID, g.settings().Place.Region)
 	for len(told) > 0 {
 		n := min(len(told), heldInNotice)
-		g.tell(to, fpnotice.Notice{Cache: &fpnotice.Cache{Replica: r.ID, Epoch: e.Epoch, Parts: told[:n]}})
+		c := fpnotice.Cache{Replica: r.ID, Epoch: e.Epoch, Parts: told[:n]}
+		g.tell(s.near, fpnotice.Notice{Cache: &c})
+		far := c
+		far.Relay = true
+		g.tell(relays, fpnotice.Notice{Cache: &far})
 		told = told[n:]
 	}
 }
 
+// relays returns one host of each other region whose hosts are not told
+// directly, the same one for all notices of a replica.
+func (s *snapshot) relays(id, region string) []*net.UDPAddr {
+	if s.hosts <= maxToldHosts {
+		return nil
+	}
+	var out []*net.UDPAddr
+	for other, names := range s.regions {
+		if other == region {
+			continue
+		}
+		if a := s.addresses[names[fproute.Owner(id, names)]]; a != nil {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // applyEvents applies events to the directory and returns those about long parts.
 func (g *Gateway) applyEvents(r fpbalance.Replica, e CacheEvents) []fpnotice.Held {
 	now := g.clock()
--- a/internal/fpgateway/peers.go
+++ b/internal/fpgateway/peers.go
@@ -71,6 +71,10 @@
 	}
 	if c := n.Cache; c != nil {
 		g.heardCache(c)
+		if c.Relay {
+			c.Relay = false
+			g.tell(g.state.Load().near, fpnotice.Notice{Cache: c})
+		}
 	}
 }
 
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -61,8 +61,9 @@
 		stores   []fpbalance.CacheStore
 		hosts    int
 		// names are the hosts, and regions those of each region, sorted.
-		names   []string
-		regions map[string][]string
+		names     []string
+		regions   map[string][]string
+		addresses map[string]*net.UDPAddr
 		// all and near are the hosts that are told of weights and of requests.
 		all      []*net.UDPAddr
 		near     []*net.UDPAddr
@@ -283,10 +284,12 @@
 	s.stores = c.stores()
 	s.hosts = len(c.hosts)
 	s.regions = make(map[string][]string)
+	s.addresses = make(map[string]*net.UDPAddr, len(c.hosts))
 	s.names = slices.Sorted(maps.Keys(c.hosts))
 	for _, name := range s.names {
 		h := c.hosts[name]
 		s.regions[h.region] = append(s.regions[h.region], name)
+		s.addresses[name] = h.address
 		if name == c.gateway.settings().Host || h.address == nil {
 			continue
 		}
--- a/internal/fpnotice/notice.go
+++ b/internal/fpnotice/notice.go
@@ -61,6 +61,8 @@
 		Replica string
 		Epoch   int64
 		Parts   []Held
+		// Relay asks the host that gets it to tell the hosts near it.
+		Relay bool `json:",omitempty"`
 	}
 
 	// Notice is one datagram.
