--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: setup build run test report bench generate
+.PHONY: setup build run test soak report bench generate
 
 setup:
 	bash scripts/setup.sh
@@ -12,6 +12,9 @@
 test: setup
 	bash scripts/test.sh
 
+soak: build
+	bin/fescuesoak --first 0 --seeds 12 --beside 3
+
 report: build
 	bin/fescuestandin report --folder docs/report > docs/report/placement.md
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -41,6 +41,10 @@
 echo "== model checks"
 bash scripts/model.sh
 
+echo "== the deploy file's build"
+bash -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)"
+test -x target/fescuepointd
+
 echo "== the whole path in separate processes"
 go build -o bin/ ./cmd/...
 bash scripts/run.sh
