make run shows the users' platform too

Cause: the two commands of the README showed the product's own interface alone. Change: the run script plays two hosts before stand-ins without faults.

--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -71,6 +71,8 @@
   echo "operators: http://127.0.0.1:9080 http://127.0.0.1:9081 (key: operator-key)"
   wait
 fi
+echo "== the same daemon on the users' platform: two hosts before stand-ins, no faults"
+"$bin/fescuesoak" --first 1 --seeds 1 --hosts 2 --callers 2 --faults 0s
 echo "== stopping"
 stop
 echo "all processes ended"
