A proof of freshness never goes with an older configuration

Cause: read as a newcomer: the proof was published apart from the picture that it proves, and a request loaded the two one after the other; between them a key just taken away could pass under a proof that was newer than its catalog. Change: the proof is part of the picture.

--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -18,7 +18,6 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpnotice"
 	"github.com/fescuepoint/fescuepoint/internal/fpstore"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
-	"github.com/fescuepoint/fescuepoint/pkg/fpfresh"
 	"github.com/fescuepoint/fescuepoint/pkg/fplimit"
 )
 
@@ -68,7 +67,6 @@
 
 		events   chan func(*control)
 		state    atomic.Pointer[snapshot]
-		proof    atomic.Pointer[fpfresh.Proof]
 		draining atomic.Bool
 		running  atomic.Int64
 		stopped  chan struct{}
@@ -102,7 +100,6 @@
 	g.pool = fpconn.NewPool(p.Clock, func(string) { g.metrics.Count("upstream_connections", 1) })
 	g.current.Store(&s)
 	g.state.Store(&snapshot{})
-	g.proof.Store(&fpfresh.Proof{})
 	return g
 }
 
@@ -155,21 +152,16 @@
 	return gatherFew
 }
 
-// deliver hands the store's news to the control goroutine, and its proof to traffic.
+// deliver hands the store's news, and the proof that comes with it, to the control goroutine.
 func (g *Gateway) deliver(u fpstore.Update) {
-	done := make(chan struct{})
 	select {
-	case g.events <- func(c *control) { c.update(u, g.clock()); close(done) }:
-		<-done
+	case g.events <- func(c *control) { c.update(u, g.clock()) }:
 	case <-g.stopped:
 		return
 	}
 	if u.Err != nil {
 		g.metrics.Count("store_errors", 1)
-		return
 	}
-	p := g.proof.Load().With(u.Sent)
-	g.proof.Store(&p)
 }
 
 // control runs the control goroutine.
@@ -204,7 +196,7 @@
 }
 
 func (g *Gateway) proofAge(now time.Duration) string {
-	age, ok := g.proof.Load().Age(now)
+	age, ok := g.state.Load().proof.Age(now)
 	if !ok {
 		return "none"
 	}
@@ -214,7 +206,7 @@
 // ready reports whether this host can serve callers.
 func (g *Gateway) ready() bool {
 	s := g.state.Load()
-	return s.catalog != nil && !g.draining.Load() && g.proof.Load().AllowsKeys(g.settings().Fresh, g.clock())
+	return s.catalog != nil && !g.draining.Load() && s.proof.AllowsKeys(g.settings().Fresh, g.clock())
 }
 
 // retry reports whether the service's budget allows one more send.
--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -103,7 +103,7 @@
 	if n := c.Limits().HeaderBytes; n > 0 && headerBytes(q.http) > n {
 		return &denial{status: http.StatusRequestHeaderFieldsTooLarge, reason: "the header is too long"}
 	}
-	proof := g.proof.Load()
+	proof := q.state.proof
 	sure := proof.AllowsDenial(g.settings().Fresh, g.clock())
 	q.route = c.Route(q.http.Host, q.http.URL.EscapedPath())
 	if q.route == nil {
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -14,6 +14,7 @@
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
 	"github.com/fescuepoint/fescuepoint/pkg/fpcatalog"
 	"github.com/fescuepoint/fescuepoint/pkg/fpfleet"
+	"github.com/fescuepoint/fescuepoint/pkg/fpfresh"
 )
 
 const (
@@ -37,6 +38,8 @@
 		// loading holds until when a replica is believed to change its weights.
 		loading map[string]time.Duration
 		away    bool
+		// proof is the age of what the store said, in step with it.
+		proof fpfresh.Proof
 		// orderHolder is the host that gives orders, as the store last said.
 		orderHolder string
 	}
@@ -54,7 +57,9 @@
 
 	// snapshot is an immutable picture of control for traffic.
 	snapshot struct {
-		catalog  *fpcatalog.Catalog
+		catalog *fpcatalog.Catalog
+		// proof is that of catalog: a newer proof never goes with an older catalog.
+		proof    fpfresh.Proof
 		services map[string][]fpbalance.Replica
 		members  []fpfleet.Replica
 		weights  map[string][]namedWeights
@@ -109,6 +114,7 @@
 	if u.Complete {
 		c.fleet.Reset(listed, now)
 	}
+	c.proof = c.proof.With(u.Sent)
 }
 
 func (c *control) lost(err error, now time.Duration) {
@@ -273,6 +279,7 @@
 	c.fleet.Expire(now)
 	s := &snapshot{
 		catalog:  c.catalog,
+		proof:    c.proof,
 		services: make(map[string][]fpbalance.Replica),
 		members:  c.fleet.Replicas(),
 		weights:  maps.Clone(c.weights),
