--- a/pkg/fpcatalog/types.go
+++ b/pkg/fpcatalog/types.go
@@ -47,13 +47,12 @@
 
 	// Engine describes the model replicas of a service.
 	Engine struct {
-		Slots          int
-		MemoryTokens   int
-		BytesPerToken  int
-		LinkMegabits   float64
-		EventReaders   int
-		Models         []string
-		FencingChecked bool
+		Slots         int
+		MemoryTokens  int
+		BytesPerToken int
+		LinkMegabits  float64
+		EventReaders  int
+		Models        []string
 	}
 
 	// CacheStore describes a service that keeps KV cache for engines.
