One store port, and the product's own driver under it

Cause: the product's own interface had a second, narrower store interface with its own errors, and each of the two stand-ins kept a store of its own. Its follower watched a slot from the slot's revision, which a store that has dropped its history refuses for ever.

Change: fpplatform implements fpstore.Store (ranges, transactions, watches by prefix); fpclaimant, fpfollower and fphost use that port. fpmemory holds the state of a store once, behind both stand-ins and the tests in virtual time. A watch begins at the store's present revision, read before the slot. The stand-in's silent fault reads the body first, or it never learns that its caller left.

--- a/internal/fpclaimant/claimant.go
+++ b/internal/fpclaimant/claimant.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fescuepoint/fescuepoint/internal/fpplatform"
+	"github.com/fescuepoint/fescuepoint/internal/fpstore"
 	"github.com/fescuepoint/fescuepoint/pkg/fpclaim"
 )
 
@@ -33,7 +33,7 @@
 
 	// Claimant settles claims through the platform's service.
 	Claimant struct {
-		store  fpplatform.Store
+		store  fpstore.Store
 		shards []*runner
 		ended  chan struct{}
 	}
@@ -41,7 +41,7 @@
 	// runner drives one shard; only its goroutine touches the shard.
 	runner struct {
 		number  int
-		store   fpplatform.Store
+		store   fpstore.Store
 		shard   *fpclaim.Shard
 		wants   chan want
 		results chan func(*fpclaim.Shard) []fpclaim.Action
@@ -62,7 +62,7 @@
 )
 
 // New returns a claimant whose batches carry name; run it with Run.
-func New(name string, store fpplatform.Store, s Settings) *Claimant {
+func New(name string, store fpstore.Store, s Settings) *Claimant {
 	if s.Shards == 0 {
 		s.Shards = fpclaim.DefaultShards
 	}
@@ -188,23 +188,23 @@
 	})
 }
 
-func (r *runner) slot(ctx context.Context, number int) (fpplatform.Value, fpclaim.Slot, error) {
+func (r *runner) slot(ctx context.Context, number int) (fpstore.Item, fpclaim.Slot, error) {
 	var slot fpclaim.Slot
-	v, err := r.store.Get(ctx, fpclaim.SlotKey(r.number, number))
+	v, err := fpstore.Read(ctx, r.store, fpclaim.SlotKey(r.number, number))
 	if err != nil || v.Revision == 0 {
 		return v, slot, err
 	}
-	return v, slot, errors.Wrap(json.Unmarshal(v.Data, &slot), "claim slot")
+	return v, slot, errors.Wrap(json.Unmarshal(v.Value, &slot), "claim slot")
 }
 
 func (r *runner) write(ctx context.Context, a fpclaim.WriteSlot) {
 	revision, err := r.swap(ctx, a)
 	r.post(ctx, func(s *fpclaim.Shard) []fpclaim.Action {
-		r.failing = err != nil && !errors.Is(err, fpplatform.ErrConflict)
+		r.failing = err != nil && !errors.Is(err, fpstore.ErrConflict)
 		switch {
 		case err == nil:
 			return s.Written(revision, time.Now())
-		case errors.Is(err, fpplatform.ErrConflict):
+		case errors.Is(err, fpstore.ErrConflict):
 			return s.Conflict(time.Now())
 		default:
 			return s.WriteLost(time.Now())
@@ -217,7 +217,7 @@
 	if err != nil {
 		panic(errors.Wrap(err, "fpclaimant: slot cannot be encoded"))
 	}
-	return r.store.CompareAndSwap(ctx, fpclaim.SlotKey(r.number, a.Slot), a.Expected, data, 0)
+	return fpstore.Swap(ctx, r.store, fpclaim.SlotKey(r.number, a.Slot), a.Expected, data, 0)
 }
 
 func (r *runner) post(ctx context.Context, f func(*fpclaim.Shard) []fpclaim.Action) {
--- a/internal/fpclaimant/write_test.go
+++ b/internal/fpclaimant/write_test.go
@@ -9,8 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/fescuepoint/fescuepoint/internal/fpplatform"
-	"github.com/fescuepoint/fescuepoint/internal/fpstandin"
+	"github.com/fescuepoint/fescuepoint/internal/fpmemory"
 	"github.com/fescuepoint/fescuepoint/pkg/fpclaim"
 )
 
@@ -25,12 +24,6 @@
 )
 
 type (
-	// storeFake is the platform's store a few milliseconds away.
-	storeFake struct {
-		fpplatform.Store
-		store *fpstandin.Store
-	}
-
 	// claimFleet is many hosts that settle claims for each other.
 	claimFleet struct {
 		mu      sync.Mutex
@@ -40,18 +33,12 @@
 	}
 )
 
-func (s storeFake) Get(_ context.Context, key string) (fpplatform.Value, error) {
-	time.Sleep(3 * time.Millisecond)
-	return s.store.Get(key, time.Now()), nil
-}
-
-func (s storeFake) CompareAndSwap(_ context.Context, key string, expected int64, data []byte, _ fpplatform.LeaseID) (int64, error) {
-	time.Sleep(3 * time.Millisecond)
-	revision, ok := s.store.Swap(key, expected, data, 0, time.Now())
-	if !ok {
-		return 0, fpplatform.ErrConflict
-	}
-	return revision, nil
+// nearby is the store a few milliseconds away.
+func nearby(s *fpmemory.Store) fpmemory.Direct {
+	return fpmemory.Direct{Store: s, Reach: func(context.Context, bool) (bool, error) {
+		time.Sleep(3 * time.Millisecond)
+		return true, nil
+	}}
 }
 
 func (f *claimFleet) Claim(ctx context.Context, address string, c fpclaim.Claim, wait time.Duration) (Settled, error) {
@@ -73,7 +60,7 @@
 // counts the writes that the platform sees.
 func TestWritesAtSize(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := fpstandin.NewStore()
+		store := fpmemory.New()
 		ctx, cancel := context.WithCancel(context.Background())
 		f := &claimFleet{brokers: make(map[string]*Broker)}
 		for i := range fleetSize {
@@ -81,7 +68,7 @@
 			f.members = append(f.members, Member{Name: name, Address: name, Incarnation: 1})
 		}
 		for _, m := range f.members {
-			c := New(m.Name, storeFake{store: store}, Settings{Shard: fpclaim.Settings{Linger: lingerAtSize}})
+			c := New(m.Name, nearby(store), Settings{Shard: fpclaim.Settings{Linger: lingerAtSize}})
 			go func() { _ = c.Run(ctx) }()
 			f.brokers[m.Name] = NewBroker(m, 0, c, NewAnswers(10), f, func() []Member { return f.others(m.Name) }, func() {})
 		}
--- a/internal/fpdispatch/world_test.go
+++ b/internal/fpdispatch/world_test.go
@@ -11,11 +11,12 @@
 
 	"github.com/fescuepoint/fescuepoint/internal/fpclaimant"
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
+	"github.com/fescuepoint/fescuepoint/internal/fpmemory"
 	"github.com/fescuepoint/fescuepoint/internal/fpmetric"
 	"github.com/fescuepoint/fescuepoint/internal/fppipe"
-	"github.com/fescuepoint/fescuepoint/internal/fpplatform"
 	"github.com/fescuepoint/fescuepoint/internal/fpstandin"
 	"github.com/fescuepoint/fescuepoint/internal/fpstate"
+	"github.com/fescuepoint/fescuepoint/internal/fpstore"
 	"github.com/fescuepoint/fescuepoint/internal/fpupstream"
 	"github.com/fescuepoint/fescuepoint/pkg/fpclaim"
 	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
@@ -36,7 +37,7 @@
 	// stand-in store behind faults, and a plain service in a network in memory.
 	world struct {
 		network fppipe.Network
-		store   *fpstandin.Store
+		store   *fpmemory.Store
 		service *fpstandin.Service
 		mu      sync.Mutex
 		faults  storeFaults
@@ -80,13 +81,19 @@
 	// hostStore is the platform as one host reaches it.
 	hostStore struct{ host *host }
 
+	// lateStore is the store whose writes may take effect late.
+	lateStore struct {
+		fpmemory.Direct
+		world *world
+	}
+
 	// hostPeers is the other hosts as one host reaches them.
 	hostPeers struct{ host *host }
 )
 
 func newWorld(seed uint64, hosts int) *world {
 	w := &world{
-		store:   fpstandin.NewStore(),
+		store:   fpmemory.New(),
 		service: fpstandin.NewService("booking", serviceWork),
 		started: time.Now(),
 		random:  rand.New(rand.NewPCG(seed, 1)),
@@ -110,7 +117,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
 	name := fmt.Sprintf("%s-%d", h.name, h.started)
-	h.claimant = fpclaimant.New(name, hostStore{h}, fpclaimant.Settings{
+	h.claimant = fpclaimant.New(name, hostStore{h}.driver(), fpclaimant.Settings{
 		Shards: 1,
 		Shard:  fpclaim.Settings{Slots: 3, Window: windowInTests, Linger: 3 * time.Millisecond},
 	})
@@ -210,54 +217,44 @@
 	w.mu.Unlock()
 	if f.down || s.host.is(func(h *host) bool { return h.dead || h.cutStore }) {
 		time.Sleep(300 * time.Millisecond)
-		return f, fpplatform.ErrUnavailable
+		return f, fpstore.ErrUnsettled
 	}
 	time.Sleep(2*time.Millisecond + f.delay)
 	return f, nil
 }
 
-func (s hostStore) Get(_ context.Context, key string) (fpplatform.Value, error) {
-	f, err := s.reach()
-	if err != nil || f.delay > 2*time.Second {
-		return fpplatform.Value{}, fpplatform.ErrUnavailable
-	}
-	return s.host.world.store.Get(key, time.Now()), nil
+// driver returns the store as this host reaches it.
+func (s hostStore) driver() lateStore {
+	return lateStore{world: s.host.world, Direct: fpmemory.Direct{Store: s.host.world.store, Reach: s.reached}}
 }
 
-func (s hostStore) CompareAndSwap(_ context.Context, key string, expected int64, data []byte, lease fpplatform.LeaseID) (int64, error) {
+// reached reports whether a call arrives, and with an error that its answer doesn't.
+func (s hostStore) reached(_ context.Context, write bool) (bool, error) {
 	f, err := s.reach()
 	if err != nil {
-		return 0, fpplatform.ErrUnsettled
+		return false, fpstore.ErrUnsettled
 	}
-	w := s.host.world
-	if w.chance(f.late) {
-		time.AfterFunc(3*time.Second, func() { w.store.Swap(key, expected, data, int64(lease), time.Now()) })
-		return 0, fpplatform.ErrUnsettled
-	}
-	revision, ok := w.store.Swap(key, expected, data, int64(lease), time.Now())
-	if f.delay > 2*time.Second || w.chance(f.loseAnswers) {
-		return 0, fpplatform.ErrUnsettled
+	if f.delay > 2*time.Second || write && s.host.world.chance(f.loseAnswers) {
+		return true, fpstore.ErrUnsettled
 	}
-	if !ok {
-		return 0, fpplatform.ErrConflict
-	}
-	return revision, nil
-}
-
-func (hostStore) Watch(context.Context, string, int64) (fpplatform.Value, error) {
-	return fpplatform.Value{}, fpplatform.ErrUnavailable
-}
-
-func (hostStore) Grant(context.Context, time.Duration) (fpplatform.LeaseID, error) {
-	return 0, fpplatform.ErrUnavailable
+	return true, nil
 }
 
-func (hostStore) KeepAlive(context.Context, fpplatform.LeaseID) error {
-	return fpplatform.ErrUnavailable
+// Commit writes, or has the write take effect seconds later and unanswered.
+func (s lateStore) Commit(ctx context.Context, t fpstore.Transaction) (int64, error) {
+	w := s.world
+	w.mu.Lock()
+	late := w.faults.late
+	w.mu.Unlock()
+	if !w.chance(late) {
+		return s.Direct.Commit(ctx, t)
+	}
+	if carry, _ := s.Reach(ctx, true); carry {
+		time.AfterFunc(3*time.Second, func() { _, _ = w.store.Commit(t, time.Now()) })
+	}
+	return 0, fpstore.ErrUnsettled
 }
 
-func (hostStore) Revoke(context.Context, fpplatform.LeaseID) error { return fpplatform.ErrUnavailable }
-
 // peer returns the named host if this one can reach it.
 func (p hostPeers) peer(ctx context.Context, address string) (*host, error) {
 	w := p.host.world
--- a/internal/fpfollower/follower.go
+++ b/internal/fpfollower/follower.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
-	"github.com/fescuepoint/fescuepoint/internal/fpplatform"
+	"github.com/fescuepoint/fescuepoint/internal/fpstore"
 	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
 )
 
@@ -40,7 +40,7 @@
 type (
 	// Follower owns a host's copy of the configuration.
 	Follower struct {
-		store    fpplatform.Store
+		store    fpstore.Store
 		changed  func(fpconfig.Replica)
 		mu       sync.Mutex
 		replica  fpconfig.Replica
@@ -55,7 +55,7 @@
 
 // New returns a follower without a configuration; changed is called, in order,
 // with each version that comes into force.
-func New(store fpplatform.Store, changed func(fpconfig.Replica)) *Follower {
+func New(store fpstore.Store, changed func(fpconfig.Replica)) *Follower {
 	return &Follower{
 		store:    store,
 		changed:  changed,
@@ -128,7 +128,7 @@
 }
 
 func (f *Follower) readSnapshot(ctx context.Context) error {
-	v, err := f.store.Get(ctx, fpconfig.SnapshotKey())
+	v, err := fpstore.Read(ctx, f.store, fpconfig.SnapshotKey())
 	if err != nil {
 		return errors.Mark(err, ErrUnavailable)
 	}
@@ -136,7 +136,7 @@
 		return nil
 	}
 	var s fpconfig.Snapshot
-	if err := json.Unmarshal(v.Data, &s); err != nil {
+	if err := json.Unmarshal(v.Value, &s); err != nil {
 		return errors.Wrap(err, "snapshot")
 	}
 	f.mu.Lock()
@@ -181,19 +181,19 @@
 
 // slot reads the slot of a version; an empty one is the zero patch.
 func (f *Follower) slot(ctx context.Context, version uint64) (fpconfig.Patch, int64, error) {
-	v, err := f.store.Get(ctx, fpconfig.SlotKey(version))
+	v, err := fpstore.Read(ctx, f.store, fpconfig.SlotKey(version))
 	if err != nil {
 		return fpconfig.Patch{}, 0, errors.Mark(err, ErrUnavailable)
 	}
 	return decodeSlot(v)
 }
 
-func decodeSlot(v fpplatform.Value) (fpconfig.Patch, int64, error) {
+func decodeSlot(v fpstore.Item) (fpconfig.Patch, int64, error) {
 	var p fpconfig.Patch
 	if v.Revision == 0 {
 		return p, 0, nil
 	}
-	err := json.Unmarshal(v.Data, &p)
+	err := json.Unmarshal(v.Value, &p)
 	return p, v.Revision, errors.Wrap(err, "configuration slot")
 }
 
@@ -221,7 +221,13 @@
 	next := f.replica.Current().Version + 1
 	moved := f.moved
 	f.mu.Unlock()
-	p, revision, err := f.slot(ctx, next)
+	// The slot may have been written so long ago that its history is gone; what
+	// comes after this revision is not.
+	page, err := f.store.Range(ctx, fpconfig.SnapshotKey(), "")
+	if err != nil {
+		return errors.Mark(err, ErrUnavailable)
+	}
+	p, _, err := f.slot(ctx, next)
 	if err != nil || p.Version() == next && p.ID != "" {
 		return err
 	}
@@ -234,18 +240,24 @@
 		case <-ctx.Done():
 		}
 	}()
-	v, err := f.store.Watch(ctx, fpconfig.SlotKey(next), revision)
+	items, _, err := f.store.Watch(ctx, fpconfig.SlotKey(next), page.Revision, watchFor)
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil
 		}
 		return errors.Mark(err, ErrUnavailable)
 	}
-	p, _, err = decodeSlot(v)
-	if err != nil {
-		return err
+	for _, i := range items {
+		// The watch also tells of keys that begin with this one.
+		if i.Key != fpconfig.SlotKey(next) {
+			continue
+		}
+		p, _, err := decodeSlot(i)
+		if err != nil {
+			return err
+		}
+		f.Offer([]fpconfig.Patch{p}, nil)
 	}
-	f.Offer([]fpconfig.Patch{p}, nil)
 	return nil
 }
 
--- a/internal/fpfollower/follower_test.go
+++ b/internal/fpfollower/follower_test.go
@@ -15,8 +15,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
-	"github.com/fescuepoint/fescuepoint/internal/fpplatform"
-	"github.com/fescuepoint/fescuepoint/internal/fpstandin"
+	"github.com/fescuepoint/fescuepoint/internal/fpmemory"
+	"github.com/fescuepoint/fescuepoint/internal/fpstore"
 	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
 )
 
@@ -29,7 +29,7 @@
 	// fleet is a few followers on one store with faults.
 	fleet struct {
 		mu        sync.Mutex
-		store     *fpstandin.Store
+		store     *fpmemory.Store
 		down      bool
 		lose      float64
 		random    *rand.Rand
@@ -46,14 +46,14 @@
 
 func newFleet(seed uint64, hosts int) *fleet {
 	f := &fleet{
-		store:    fpstandin.NewStore(),
+		store:    fpmemory.New(),
 		random:   rand.New(rand.NewPCG(seed, 9)),
 		patches:  make(map[string]fpconfig.Patch),
 		results:  make(map[string]error),
 		versions: make([][]uint64, hosts),
 	}
 	for i := range hosts {
-		f.followers = append(f.followers, New(faulty{f}, func(r fpconfig.Replica) {
+		f.followers = append(f.followers, New(fpmemory.Direct{Store: f.store, Reach: faulty{f}.reached}, func(r fpconfig.Replica) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.versions[i] = append(f.versions[i], r.Current().Version)
@@ -80,51 +80,15 @@
 	return !down, !down && !lost
 }
 
-func (s faulty) Get(_ context.Context, key string) (fpplatform.Value, error) {
-	if _, ok := s.reach(); !ok {
-		return fpplatform.Value{}, fpplatform.ErrUnavailable
-	}
-	return s.fleet.store.Get(key, time.Now()), nil
-}
-
-func (s faulty) CompareAndSwap(_ context.Context, key string, expected int64, data []byte, lease fpplatform.LeaseID) (int64, error) {
+// reached is the driver of the store as the followers reach it.
+func (s faulty) reached(_ context.Context, _ bool) (bool, error) {
 	arrives, answers := s.reach()
-	if !arrives {
-		return 0, fpplatform.ErrUnsettled
+	if !answers {
+		return arrives, fpstore.ErrUnsettled
 	}
-	revision, ok := s.fleet.store.Swap(key, expected, data, int64(lease), time.Now())
-	switch {
-	case !answers:
-		return 0, fpplatform.ErrUnsettled
-	case !ok:
-		return 0, fpplatform.ErrConflict
-	}
-	return revision, nil
+	return true, nil
 }
 
-func (s faulty) Watch(ctx context.Context, key string, after int64) (fpplatform.Value, error) {
-	if _, ok := s.reach(); !ok {
-		return fpplatform.Value{}, fpplatform.ErrUnavailable
-	}
-	for {
-		v, changed := s.fleet.store.Wait(key, after, time.Now())
-		if changed == nil {
-			return v, nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return fpplatform.Value{}, fpplatform.ErrUnavailable
-		}
-	}
-}
-
-func (faulty) Grant(context.Context, time.Duration) (fpplatform.LeaseID, error) { return 0, nil }
-
-func (faulty) KeepAlive(context.Context, fpplatform.LeaseID) error { return nil }
-
-func (faulty) Revoke(context.Context, fpplatform.LeaseID) error { return nil }
-
 func team(name string) fpconfig.Team {
 	sum := sha256.Sum256([]byte(name))
 	return fpconfig.Team{Name: name, KeySHA256: hex.EncodeToString(sum[:])}
@@ -283,6 +247,21 @@
 			is.NoErr(f.followers[0].followOnce(context.Background()))
 			is.Equal(f.followers[0].Note(), ErrStoreBehind.Error())
 		},
+		"a store without history is watched": func(t *testing.T, f *fleet) {
+			is := is.New(t)
+			_, err := f.patch("p", 0)
+			is.NoErr(err)
+			f.store.Compact()
+			f.set(false, 0)
+			is.NoErr(f.followers[1].Load(context.Background()))
+			watched := make(chan error)
+			go func() { watched <- f.followers[1].followOnce(context.Background()) }()
+			time.Sleep(time.Second)
+			_, err = f.patch("q", 0)
+			is.NoErr(err)
+			is.NoErr(<-watched)
+			is.Equal(f.has(1, "q"), uint64(2))
+		},
 		"many patches pass the ring and its snapshots": func(t *testing.T, f *fleet) {
 			is := is.New(t)
 			for i := range fpconfig.Slots + 50 {
--- a/internal/fpfollower/herd_test.go
+++ b/internal/fpfollower/herd_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
+	"github.com/fescuepoint/fescuepoint/internal/fpmemory"
 	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
 )
 
@@ -61,7 +62,7 @@
 			_, err := f.patch(fmt.Sprintf("p%d", i), 0)
 			is.NoErr(err)
 		}
-		f.followers[0] = New(faulty{f}, func(fpconfig.Replica) {})
+		f.followers[0] = New(fpmemory.Direct{Store: f.store, Reach: faulty{f}.reached}, func(fpconfig.Replica) {})
 		ctx, cancel := context.WithCancel(context.Background())
 		random := rand.New(rand.NewPCG(1, 2))
 		for i := range herdSize {
--- a/internal/fpfollower/patch.go
+++ b/internal/fpfollower/patch.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
-	"github.com/fescuepoint/fescuepoint/internal/fpplatform"
+	"github.com/fescuepoint/fescuepoint/internal/fpstore"
 	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
 )
 
@@ -69,7 +69,7 @@
 		case err == nil && held.ID != "" && held.Version() >= p.Version():
 			return errors.Wrapf(fpconfig.ErrStale, "another patch led to version %d", held.Version())
 		case err == nil:
-			_, err = f.store.CompareAndSwap(ctx, fpconfig.SlotKey(p.Version()), revision, data, 0)
+			_, err = fpstore.Swap(ctx, f.store, fpconfig.SlotKey(p.Version()), revision, data, 0)
 			if err == nil {
 				return nil
 			}
@@ -77,7 +77,7 @@
 		if ctx.Err() != nil {
 			return errors.Wrapf(ErrUnknown, "patch %s", p.ID)
 		}
-		if !errors.Is(err, fpplatform.ErrConflict) {
+		if !errors.Is(err, fpstore.ErrConflict) {
 			fpclock.Sleep(ctx, settleEvery)
 		}
 	}
@@ -91,13 +91,13 @@
 	if v.Version < last+slack {
 		return nil
 	}
-	old, err := f.store.Get(ctx, fpconfig.SnapshotKey())
+	old, err := fpstore.Read(ctx, f.store, fpconfig.SnapshotKey())
 	if err != nil {
 		return errors.Mark(err, ErrUnavailable)
 	}
 	var kept fpconfig.Snapshot
 	if old.Revision != 0 {
-		if err := json.Unmarshal(old.Data, &kept); err != nil {
+		if err := json.Unmarshal(old.Value, &kept); err != nil {
 			return errors.Wrap(err, "snapshot")
 		}
 	}
@@ -106,7 +106,7 @@
 		if err != nil {
 			panic(errors.Wrap(err, "fpfollower: snapshot cannot be encoded"))
 		}
-		if _, err := f.store.CompareAndSwap(ctx, fpconfig.SnapshotKey(), old.Revision, data, 0); err != nil {
+		if _, err := fpstore.Swap(ctx, f.store, fpconfig.SnapshotKey(), old.Revision, data, 0); err != nil {
 			return errors.Mark(err, ErrUnavailable)
 		}
 		kept = v
--- a/internal/fphost/rollout.go
+++ b/internal/fphost/rollout.go
@@ -7,8 +7,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
-	"github.com/fescuepoint/fescuepoint/internal/fpplatform"
 	"github.com/fescuepoint/fescuepoint/internal/fpstate"
+	"github.com/fescuepoint/fescuepoint/internal/fpstore"
 	"github.com/fescuepoint/fescuepoint/internal/fpupstream"
 	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
 	"github.com/fescuepoint/fescuepoint/pkg/fporder"
@@ -27,7 +27,7 @@
 		host    *Host
 		planner *fporder.Planner
 		lease   fporder.Lease
-		id      fpplatform.LeaseID
+		id      fpstore.Lease
 		renewed time.Duration
 	}
 )
@@ -64,7 +64,7 @@
 
 // acquire takes the lease if nobody holds it.
 func (r *rollout) acquire(ctx context.Context) bool {
-	v, err := r.host.store.Get(ctx, rolloutKey)
+	v, err := fpstore.Read(ctx, r.host.store, rolloutKey)
 	if err != nil || v.Revision != 0 {
 		return false
 	}
@@ -73,9 +73,9 @@
 	if err != nil {
 		return false
 	}
-	revision, err := r.host.store.CompareAndSwap(ctx, rolloutKey, 0, []byte(r.host.settings.Host.Name), id)
+	revision, err := fpstore.Swap(ctx, r.host.store, rolloutKey, 0, []byte(r.host.settings.Host.Name), id)
 	if err != nil {
-		_ = r.host.store.Revoke(ctx, id)
+		_ = r.host.store.End(ctx, id)
 		return false
 	}
 	r.id = id
@@ -96,7 +96,7 @@
 		r.renewed = start
 		r.lease.Until = start + fporder.LeaseTTL
 		return true
-	case errors.Is(err, fpplatform.ErrLeaseGone):
+	case errors.Is(err, fpstore.ErrLeaseGone):
 		return false
 	default:
 		return start < r.lease.Until
@@ -114,7 +114,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	_ = r.host.store.Revoke(ctx, r.id)
+	_ = r.host.store.End(ctx, r.id)
 	r.forget()
 }
 
--- /dev/null
+++ b/internal/fpmemory/direct_test.go
@@ -0,0 +1,38 @@
+package fpmemory_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpmemory"
+	"github.com/fescuepoint/fescuepoint/internal/fpstore"
+	"github.com/fescuepoint/fescuepoint/internal/fpstore/fpstoretest"
+)
+
+// TestDirect plays the store port's contract in memory.
+func TestDirect(t *testing.T) {
+	fpstoretest.Run(t, func(*testing.T) (fpstore.Store, fpstoretest.Control) {
+		s := fpmemory.New()
+		var refuse, silent, lose bool
+		d := fpmemory.Direct{Store: s, Reach: func(ctx context.Context, write bool) (bool, error) {
+			switch {
+			case refuse:
+				return false, fpstore.ErrRefused
+			case silent:
+				<-ctx.Done()
+				return false, fpstore.ErrUnsettled
+			case lose && write:
+				return true, fpstore.ErrUnsettled
+			}
+			return true, nil
+		}}
+		return d, fpstoretest.Control{
+			Lease:   200 * time.Millisecond,
+			Compact: s.Compact,
+			Refuse:  func(on bool) { refuse = on },
+			Silence: func(on bool) { silent = on },
+			Lose:    func(on bool) { lose = on },
+		}
+	})
+}
--- /dev/null
+++ b/internal/fpplatform/client_test.go
@@ -0,0 +1,46 @@
+package fpplatform_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpplatform"
+	"github.com/fescuepoint/fescuepoint/internal/fpstandin"
+	"github.com/fescuepoint/fescuepoint/internal/fpstore"
+	"github.com/fescuepoint/fescuepoint/internal/fpstore/fpstoretest"
+)
+
+const (
+	manyCalls = 1 << 20
+)
+
+// TestClient plays the store port's contract against the stand-in.
+func TestClient(t *testing.T) {
+	fpstoretest.Run(t, func(t *testing.T) (fpstore.Store, fpstoretest.Control) {
+		p := fpstandin.NewPlatform()
+		refused := false
+		h := p.Handler()
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if refused {
+				w.WriteHeader(http.StatusTooManyRequests)
+				return
+			}
+			h.ServeHTTP(w, r)
+		}))
+		t.Cleanup(func() {
+			s.CloseClientConnections()
+			s.Close()
+		})
+		return fpplatform.NewClient(s.Listener.Addr().String()), fpstoretest.Control{
+			Lease:   time.Second,
+			Compact: p.Store.Compact,
+			Refuse:  func(on bool) { refused = on },
+			Silence: func(on bool) { p.SetFaults(fpstandin.Faults{Silent: on}) },
+			Lose: func(on bool) {
+				p.SetFaults(fpstandin.Faults{LoseAnswers: map[bool]int{true: manyCalls}[on]})
+			},
+		}
+	})
+}
--- a/internal/fpplatform/wire.go
+++ b/internal/fpplatform/wire.go
@@ -1,12 +1,20 @@
 package fpplatform
 
+const (
+	// EventDelete is the type of an event that removed its key.
+	EventDelete = "DELETE"
+	compareMod  = "MOD"
+	equal       = "EQUAL"
+)
+
 type (
 	// KeyValue is a stored key as the protocol writes it.
 	KeyValue struct {
-		Key         []byte `json:"key"`
-		Value       []byte `json:"value,omitempty"`
-		ModRevision int64  `json:"mod_revision,string"`
-		Lease       int64  `json:"lease,string,omitempty"`
+		Key            []byte `json:"key"`
+		Value          []byte `json:"value,omitempty"`
+		CreateRevision int64  `json:"create_revision,string,omitempty"`
+		ModRevision    int64  `json:"mod_revision,string"`
+		Lease          int64  `json:"lease,string,omitempty"`
 	}
 
 	// Header carries the store's revision.
@@ -14,15 +22,19 @@
 		Revision int64 `json:"revision,string"`
 	}
 
-	// RangeRequest reads one key.
+	// RangeRequest reads the keys from Key up to and without RangeEnd, or one key
+	// when that is empty; Limit 0 reads all.
 	RangeRequest struct {
-		Key []byte `json:"key"`
+		Key      []byte `json:"key"`
+		RangeEnd []byte `json:"range_end,omitempty"`
+		Limit    int64  `json:"limit,string,omitempty"`
 	}
 
 	// RangeResponse is the answer to a RangeRequest.
 	RangeResponse struct {
 		Header    Header     `json:"header"`
 		KeyValues []KeyValue `json:"kvs,omitempty"`
+		More      bool       `json:"more,omitempty"`
 	}
 
 	// PutRequest writes one key, bound to a lease when one is given.
@@ -40,18 +52,24 @@
 		ModRevision int64  `json:"mod_revision,string"`
 	}
 
+	// DeleteRequest removes one key.
+	DeleteRequest struct {
+		Key []byte `json:"key"`
+	}
+
 	// Operation is one step of a transaction.
 	Operation struct {
-		Put *PutRequest `json:"requestPut,omitempty"`
+		Put    *PutRequest    `json:"requestPut,omitempty"`
+		Delete *DeleteRequest `json:"requestDeleteRange,omitempty"`
 	}
 
-	// TransactionRequest is a compare-and-swap.
+	// TransactionRequest writes if all comparisons hold.
 	TransactionRequest struct {
 		Compare []Compare   `json:"compare"`
 		Success []Operation `json:"success"`
 	}
 
-	// TransactionResponse tells whether the swap took place.
+	// TransactionResponse tells whether the comparisons held.
 	TransactionResponse struct {
 		Header    Header `json:"header"`
 		Succeeded bool   `json:"succeeded,omitempty"`
@@ -75,14 +93,15 @@
 		Result LeaseResponse `json:"result"`
 	}
 
-	// WatchRequest waits for events of one key from a revision on.
+	// WatchRequest waits for events from a revision on.
 	WatchRequest struct {
 		Create WatchCreate `json:"create_request"`
 	}
 
-	// WatchCreate names the key and the first revision of interest.
+	// WatchCreate names the keys, as a RangeRequest does, and the first revision of interest.
 	WatchCreate struct {
 		Key           []byte `json:"key"`
+		RangeEnd      []byte `json:"range_end,omitempty"`
 		StartRevision int64  `json:"start_revision,string"`
 	}
 
@@ -91,11 +110,14 @@
 		Result WatchResult `json:"result"`
 	}
 
-	// WatchResult says that the watch was created or carries its events.
+	// WatchResult says that the watch was created, carries its events, or says
+	// that the history before CompactRevision is gone.
 	WatchResult struct {
-		Header  Header  `json:"header"`
-		Created bool    `json:"created,omitempty"`
-		Events  []Event `json:"events,omitempty"`
+		Header          Header  `json:"header"`
+		Created         bool    `json:"created,omitempty"`
+		Canceled        bool    `json:"canceled,omitempty"`
+		CompactRevision int64   `json:"compact_revision,string,omitempty"`
+		Events          []Event `json:"events,omitempty"`
 	}
 
 	// Event is one change of a key; Type DELETE or empty for a put.
--- a/internal/fpstandin/fault.go
+++ b/internal/fpstandin/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -87,6 +88,8 @@
 			panic(http.ErrAbortHandler)
 		}
 		if now.Silent {
+			// Only a request whose body was read tells when its caller leaves.
+			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/fpstandin/platform.go
+++ b/internal/fpstandin/platform.go
@@ -3,11 +3,15 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/fescuepoint/fescuepoint/internal/fpmemory"
 	"github.com/fescuepoint/fescuepoint/internal/fpplatform"
+	"github.com/fescuepoint/fescuepoint/internal/fpstore"
 )
 
 const (
@@ -16,12 +20,14 @@
 	writesPerSecond = 400
 	maxValueBytes   = 1 << 20
 	maxRequestBytes = 2 << 20
+	// maxWatch bounds a watch without events; callers give up before.
+	maxWatch = time.Minute
 )
 
 type (
-	// Platform serves a Store over the platform's protocol.
+	// Platform serves a store in memory over the platform's protocol.
 	Platform struct {
-		Store  *Store
+		Store  *fpmemory.Store
 		faults faultSwitch
 		reads  *rate.Limiter
 		writes *rate.Limiter
@@ -31,7 +37,7 @@
 // NewPlatform returns a stand-in of the platform's service.
 func NewPlatform() *Platform {
 	return &Platform{
-		Store:  NewStore(),
+		Store:  fpmemory.New(),
 		reads:  rate.NewLimiter(readsPerSecond, readsPerSecond),
 		writes: rate.NewLimiter(writesPerSecond, writesPerSecond),
 	}
@@ -44,7 +50,7 @@
 func (p *Platform) Handler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("POST /v3/kv/range", limited(p, p.reads, p.get))
-	m.HandleFunc("POST /v3/kv/txn", limited(p, p.writes, p.swap))
+	m.HandleFunc("POST /v3/kv/txn", limited(p, p.writes, p.commit))
 	m.HandleFunc("POST /v3/watch", limited(p, p.reads, p.watch))
 	m.HandleFunc("POST /v3/lease/grant", limited(p, p.writes, p.grant))
 	m.HandleFunc("POST /v3/lease/keepalive", limited(p, p.writes, p.keepAlive))
@@ -57,7 +63,7 @@
 func limited[T any](p *Platform, l *rate.Limiter, serve func(http.ResponseWriter, *http.Request, T)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if !l.Allow() {
-			p.Store.refuse()
+			p.Store.Refused()
 			http.Error(w, "too many requests", http.StatusTooManyRequests)
 			return
 		}
@@ -71,62 +77,111 @@
 }
 
 func (p *Platform) get(w http.ResponseWriter, _ *http.Request, req fpplatform.RangeRequest) {
-	v := p.Store.Get(string(req.Key), time.Now())
-	var res fpplatform.RangeResponse
-	if v.Revision != 0 {
-		res.KeyValues = []fpplatform.KeyValue{{Key: req.Key, Value: v.Data, ModRevision: v.Revision}}
+	if len(req.RangeEnd) == 0 {
+		i, revision, err := p.Store.Get(string(req.Key), time.Now())
+		res := fpplatform.RangeResponse{Header: fpplatform.Header{Revision: revision}}
+		if err == nil {
+			res.KeyValues = []fpplatform.KeyValue{keyValue(i)}
+		}
+		writeJSON(w, res)
+		return
+	}
+	prefix, after := rangeOf(req.Key, req.RangeEnd)
+	page := p.Store.Range(prefix, after, time.Now())
+	res := fpplatform.RangeResponse{Header: fpplatform.Header{Revision: page.Revision}, More: page.More}
+	for _, i := range page.Items {
+		res.KeyValues = append(res.KeyValues, keyValue(i))
 	}
 	writeJSON(w, res)
 }
 
-func (p *Platform) swap(w http.ResponseWriter, _ *http.Request, req fpplatform.TransactionRequest) {
-	if len(req.Compare) != 1 || len(req.Success) != 1 || req.Success[0].Put == nil {
-		http.Error(w, "only a compare-and-swap of one key is served", http.StatusBadRequest)
-		return
+// rangeOf returns the prefix that a range stands for, and the key that it
+// begins behind.
+func rangeOf(key, end []byte) (prefix, after string) {
+	after = strings.TrimSuffix(string(key), "\x00")
+	if len(end) == 1 && end[0] == 0 {
+		return "", after
+	}
+	last := len(end) - 1
+	prefix = string(end[:last]) + string(end[last]-1)
+	if after == prefix {
+		after = ""
+	}
+	return prefix, after
+}
+
+func keyValue(i fpstore.Item) fpplatform.KeyValue {
+	return fpplatform.KeyValue{
+		Key: []byte(i.Key), Value: i.Value, CreateRevision: i.Created, ModRevision: i.Revision, Lease: int64(i.Lease),
+	}
+}
+
+func (p *Platform) commit(w http.ResponseWriter, _ *http.Request, req fpplatform.TransactionRequest) {
+	var t fpstore.Transaction
+	for _, c := range req.Compare {
+		t.Conditions = append(t.Conditions, fpstore.Condition{Key: string(c.Key), Revision: c.ModRevision})
 	}
-	put := req.Success[0].Put
-	if len(put.Value) > maxValueBytes {
-		http.Error(w, "the value is too large", http.StatusRequestEntityTooLarge)
+	for _, o := range req.Success {
+		switch {
+		case o.Put != nil && len(o.Put.Value) > maxValueBytes:
+			http.Error(w, "the value is too large", http.StatusRequestEntityTooLarge)
+			return
+		case o.Put != nil:
+			t.Puts = append(t.Puts, fpstore.Put{Key: string(o.Put.Key), Value: o.Put.Value, Lease: fpstore.Lease(o.Put.Lease)})
+		case o.Delete != nil:
+			t.Deletes = append(t.Deletes, string(o.Delete.Key))
+		}
+	}
+	revision, err := p.Store.Commit(t, time.Now())
+	if errors.Is(err, fpstore.ErrLeaseGone) {
+		http.Error(w, err.Error(), http.StatusNotFound)
 		return
 	}
-	revision, ok := p.Store.Swap(string(put.Key), req.Compare[0].ModRevision, put.Value, put.Lease, time.Now())
-	writeJSON(w, fpplatform.TransactionResponse{Header: fpplatform.Header{Revision: revision}, Succeeded: ok})
+	writeJSON(w, fpplatform.TransactionResponse{Header: fpplatform.Header{Revision: revision}, Succeeded: err == nil})
 }
 
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request, req fpplatform.WatchRequest) {
 	writeJSON(w, fpplatform.WatchResponse{Result: fpplatform.WatchResult{Created: true}})
 	_ = http.NewResponseController(w).Flush()
-	key := string(req.Create.Key)
-	for {
-		v, changed := p.Store.Wait(key, req.Create.StartRevision-1, time.Now())
-		if changed == nil {
-			kv := fpplatform.KeyValue{Key: req.Create.Key, Value: v.Data, ModRevision: v.Revision}
-			writeJSON(w, fpplatform.WatchResponse{Result: fpplatform.WatchResult{Events: []fpplatform.Event{{KeyValue: kv}}}})
-			return
-		}
-		select {
-		case <-changed:
-		case <-r.Context().Done():
-			return
-		}
-		if p.faults.get().Down {
-			panic(http.ErrAbortHandler)
+	prefix, _ := rangeOf(req.Create.Key, req.Create.RangeEnd)
+	items, revision, err := p.Store.Await(r.Context(), prefix, req.Create.StartRevision-1, maxWatch)
+	if p.faults.get().Down {
+		panic(http.ErrAbortHandler)
+	}
+	result := fpplatform.WatchResult{Header: fpplatform.Header{Revision: revision}}
+	switch {
+	case errors.Is(err, fpstore.ErrCompacted):
+		result.Canceled, result.CompactRevision = true, revision
+	case err != nil:
+		return
+	default:
+		for _, i := range items {
+			e := fpplatform.Event{KeyValue: keyValue(i)}
+			if i.Deleted {
+				e.Type = fpplatform.EventDelete
+			}
+			result.Events = append(result.Events, e)
 		}
 	}
+	writeJSON(w, fpplatform.WatchResponse{Result: result})
 }
 
 func (p *Platform) grant(w http.ResponseWriter, _ *http.Request, req fpplatform.LeaseRequest) {
 	id := p.Store.Grant(time.Duration(req.TTL)*time.Second, time.Now())
-	writeJSON(w, fpplatform.LeaseResponse{ID: id, TTL: req.TTL})
+	writeJSON(w, fpplatform.LeaseResponse{ID: int64(id), TTL: req.TTL})
 }
 
 func (p *Platform) keepAlive(w http.ResponseWriter, _ *http.Request, req fpplatform.LeaseRequest) {
-	ttl := p.Store.KeepAlive(req.ID, time.Now())
+	// A lease that is gone has no time to live.
+	ttl, _ := p.Store.KeepAlive(fpstore.Lease(req.ID), time.Now())
 	res := fpplatform.LeaseResponse{ID: req.ID, TTL: int64(ttl / time.Second)}
 	writeJSON(w, fpplatform.KeepAliveResponse{Result: res})
 }
 
 func (p *Platform) revoke(w http.ResponseWriter, _ *http.Request, req fpplatform.LeaseRequest) {
-	p.Store.Revoke(req.ID, time.Now())
+	if err := p.Store.End(fpstore.Lease(req.ID), time.Now()); err != nil {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	}
 	writeJSON(w, fpplatform.LeaseResponse{ID: req.ID})
 }
--- a/internal/fpstore/fpstoretest/run.go
+++ b/internal/fpstore/fpstoretest/run.go
@@ -20,6 +20,8 @@
 type (
 	// Control injects faults into the store that a driver speaks to.
 	Control struct {
+		// Lease is the shortest lease that the store grants.
+		Lease   time.Duration
 		Compact func()
 		Refuse  func(on bool)
 		Silence func(on bool)
@@ -35,6 +37,7 @@
 		"conditions":           conditions,
 		"pages":                pages,
 		"watch":                watch,
+		"watch of a lease":     watchOfLease,
 		"forgotten history":    forgotten,
 		"leases":               leases,
 		"refusal and silence":  refusal,
@@ -85,9 +88,13 @@
 }
 
 func pages(ctx context.Context, is *is.I, s fpstore.Store, _ Control) {
-	const keys = 620
-	for i := range keys {
-		_, err := s.Commit(ctx, put(fmt.Sprintf("p/%04d", i), "v"))
+	const batches, inBatch = 31, 20
+	for b := range batches {
+		var t fpstore.Transaction
+		for i := range inBatch {
+			t.Puts = append(t.Puts, fpstore.Put{Key: fmt.Sprintf("p/%04d", b*inBatch+i), Value: []byte("v")})
+		}
+		_, err := s.Commit(ctx, t)
 		is.NoErr(err)
 	}
 	seen, last := 0, ""
@@ -100,7 +107,7 @@
 		}
 		last = p.Items[len(p.Items)-1].Key
 	}
-	is.Equal(seen, keys)
+	is.Equal(seen, batches*inBatch)
 }
 
 func watch(ctx context.Context, is *is.I, s fpstore.Store, _ Control) {
@@ -114,7 +121,7 @@
 	is.True(time.Since(began) >= 50*time.Millisecond)
 	_, err = s.Commit(ctx, put("other", "1"))
 	is.NoErr(err)
-	last, err := s.Commit(ctx, fpstore.Transaction{Deletes: []string{"w"}})
+	last, err := s.Commit(ctx, fpstore.Transaction{Deletes: []string{"w", "missing"}})
 	is.NoErr(err)
 	items, revision, err = s.Watch(ctx, "w", after, time.Second)
 	is.NoErr(err)
@@ -123,6 +130,19 @@
 	is.Equal(revision, last)
 }
 
+// watchOfLease checks that a watch that waits hears of keys that go with their lease.
+func watchOfLease(ctx context.Context, is *is.I, s fpstore.Store, c Control) {
+	id, err := s.Grant(ctx, c.Lease)
+	is.NoErr(err)
+	after, err := s.Commit(ctx, fpstore.Transaction{Puts: []fpstore.Put{{Key: "l/1", Value: []byte("v"), Lease: id}}})
+	is.NoErr(err)
+	items, _, err := s.Watch(ctx, "l/", after, 3*c.Lease)
+	is.NoErr(err)
+	is.Equal(len(items), 1)
+	is.Equal(items[0].Key, "l/1")
+	is.True(items[0].Deleted)
+}
+
 func forgotten(ctx context.Context, is *is.I, s fpstore.Store, c Control) {
 	after, err := s.Commit(ctx, put("a", "1"))
 	is.NoErr(err)
@@ -133,19 +153,19 @@
 	is.True(errors.Is(err, fpstore.ErrCompacted))
 }
 
-func leases(ctx context.Context, is *is.I, s fpstore.Store, _ Control) {
-	id, err := s.Grant(ctx, 200*time.Millisecond)
+func leases(ctx context.Context, is *is.I, s fpstore.Store, c Control) {
+	id, err := s.Grant(ctx, c.Lease)
 	is.NoErr(err)
 	bound := fpstore.Transaction{Puts: []fpstore.Put{{Key: "l", Value: []byte("v"), Lease: id}}}
 	_, err = s.Commit(ctx, bound)
 	is.NoErr(err)
 	for range 4 {
-		fpclock.Sleep(ctx, 100*time.Millisecond)
+		fpclock.Sleep(ctx, c.Lease/2)
 		is.NoErr(s.KeepAlive(ctx, id))
 	}
 	_, err = s.Get(ctx, "l")
 	is.NoErr(err)
-	fpclock.Sleep(ctx, 400*time.Millisecond)
+	fpclock.Sleep(ctx, 2*c.Lease)
 	_, err = s.Get(ctx, "l")
 	is.True(errors.Is(err, fpstore.ErrMissing))
 	is.True(errors.Is(s.KeepAlive(ctx, id), fpstore.ErrLeaseGone))
--- a/internal/fpstore/store.go
+++ b/internal/fpstore/store.go
@@ -65,12 +65,35 @@
 
 	// Store is a linearizable key-value store.
 	Store interface {
+		// Get reads a key; a missing one is ErrMissing.
 		Get(ctx context.Context, key string) (Item, error)
+		// Range reads a page of the keys under a prefix, those behind after.
 		Range(ctx context.Context, prefix, after string) (Page, error)
+		// Watch returns the changes under a prefix after a revision, as soon as
+		// there are any or when the wait is over, and the revision to go on from.
 		Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
+		// Commit writes a transaction and returns its revision.
 		Commit(ctx context.Context, t Transaction) (int64, error)
 		Grant(ctx context.Context, ttl time.Duration) (Lease, error)
 		KeepAlive(ctx context.Context, lease Lease) error
 		End(ctx context.Context, lease Lease) error
 	}
 )
+
+// Read is Get with a missing key as an item with revision 0.
+func Read(ctx context.Context, s Store, key string) (Item, error) {
+	i, err := s.Get(ctx, key)
+	if errors.Is(err, ErrMissing) {
+		return Item{}, nil
+	}
+	return i, err
+}
+
+// Swap writes a key if it has the revision, 0 meaning that it does not exist,
+// and returns its new revision.
+func Swap(ctx context.Context, s Store, key string, revision int64, value []byte, lease Lease) (int64, error) {
+	return s.Commit(ctx, Transaction{
+		Conditions: []Condition{{Key: key, Revision: revision}},
+		Puts:       []Put{{Key: key, Value: value, Lease: lease}},
+	})
+}
