One host of a zone reads the store, the others ask it

Cause: every host watched the store itself.

Change: fpnews keeps what a host heard of the store and answers questions for the changes after a revision, with the age of its proof. The age is counted from when the question was asked, so that a host that stands still never makes it look younger. The first host of a zone by rendezvous reads; others ask it every 0.6 s, then the second one, then the store. News older than 1.7 s is not taken, and bounds below 3 s turn this off. A lease on orders that was not got is asked for again after 1 s, not at once.

TestNewsOfZone (no host read through another before), TestAfter, TestHistory.

--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/internal/fplog"
 	"github.com/fescuepoint/fescuepoint/internal/fpmetric"
+	"github.com/fescuepoint/fescuepoint/internal/fpnews"
 	"github.com/fescuepoint/fescuepoint/internal/fpnotice"
 	"github.com/fescuepoint/fescuepoint/internal/fpstore"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
@@ -26,13 +27,6 @@
 	memoryShare = 0.7
 	// tick is the pace at which the picture for traffic is renewed without news.
 	tick = 500 * time.Millisecond
-	// gatherFew and gatherMany are far below the 3 and 4 s in which the users want
-	// a change in force; manyHosts is where the calls of watches begin to weigh.
-	gatherFew  = 500 * time.Millisecond
-	gatherMany = time.Second
-	manyHosts  = 16
-	// watchShare of the time in which a revoked key must be refused is what one watch may wait.
-	watchShare = 4
 )
 
 type (
@@ -71,6 +65,11 @@
 		running  atomic.Int64
 		stopped  chan struct{}
 		notices  *fpnotice.Socket
+		// news is what this host heard of the store, for others to ask; asker asks them.
+		news  fpnews.History
+		asker *fpnews.Client
+		// readers are the hosts of the zone that read the store; the follower's alone.
+		readers *readers
 
 		mu       sync.Mutex
 		balancer *fpbalance.Balancer
@@ -98,6 +97,7 @@
 		retries:  make(map[string]*fplimit.RetryWindow),
 	}
 	g.pool = fpconn.NewPool(p.Clock, func(string) { g.metrics.Count("upstream_connections", 1) })
+	g.asker, g.readers = fpnews.NewClient(p.Clock), &readers{failed: make(map[string]time.Duration)}
 	g.current.Store(&s)
 	g.state.Store(&snapshot{})
 	return g
@@ -113,10 +113,7 @@
 	g.openPeers()
 	var r run.Group
 	follower := &fpstore.Follower{
-		Store: g.store, Clock: g.clock, Deliver: g.deliver,
-		// Two watches in a row must prove that no key was taken away.
-		Wait:   g.settings().Fresh.Revoke / watchShare,
-		Gather: func() time.Duration { return gatherFor(g.state.Load().hosts) },
+		Store: g.store, Clock: g.clock, Deliver: g.deliver, Pace: g.pace, Nearby: g.nearby,
 	}
 	rollout := newRollout(g)
 	for _, f := range []func(context.Context) error{
@@ -127,6 +124,11 @@
 	}
 	callers := g.newServer(g.settings().Callers, g)
 	servers := []*server{callers, g.newServer(g.settings().Ready, g.readyHandler())}
+	if address := g.settings().peerAddress(); address != "" {
+		n := g.newServer(address, fpnews.NewHandler(g.settings().Host, &g.news, g.clock))
+		n.optional = true
+		servers = append(servers, n)
+	}
 	if g.settings().Metrics != "" {
 		m := g.newServer(g.settings().Metrics, g.metricsHandler())
 		m.optional = true
@@ -139,21 +141,14 @@
 	g.log("started", "Zone", g.settings().Place.Zone, "Callers", g.settings().Callers, "Store", g.settings().Store)
 	err := r.Run()
 	g.pool.Close()
+	g.asker.Close()
 	g.queue.Wait()
 	return errors.Wrap(err, "gateway")
 }
 
-// gatherFor returns how long changes of the store gather: longer in a large
-// fleet, in which each change wakes every host's watch and entries change often.
-func gatherFor(hosts int) time.Duration {
-	if hosts > manyHosts {
-		return gatherMany
-	}
-	return gatherFew
-}
-
 // deliver hands the store's news, and the proof that comes with it, to the control goroutine.
 func (g *Gateway) deliver(u fpstore.Update) {
+	g.news.Add(u)
 	select {
 	case g.events <- func(c *control) { c.update(u, g.clock()) }:
 	case <-g.stopped:
--- a/internal/fpgateway/peers.go
+++ b/internal/fpgateway/peers.go
@@ -154,9 +154,16 @@
 	g.tell(g.state.Load().all, fpnotice.Notice{Weights: w})
 }
 
-// hostAddress decodes a host's entry: where it takes notices, and its region.
-func hostAddress(value []byte) (hostEntry, error) {
-	address, region, _ := strings.Cut(string(value), " ")
+// hostEntry is what the store holds of this host: where it takes notices and
+// questions, its region and its availability zone.
+func (s Settings) hostEntry() string {
+	return s.peerAddress() + " " + s.Place.Region + " " + s.Place.Zone
+}
+
+// decodeHost decodes a host's entry.
+func decodeHost(value []byte) (hostEntry, error) {
+	address, place, _ := strings.Cut(string(value), " ")
+	region, zone, _ := strings.Cut(place, " ")
 	a, err := net.ResolveUDPAddr("udp4", address)
-	return hostEntry{region: region, address: a}, err
+	return hostEntry{region: region, zone: zone, address: a}, err
 }
--- a/internal/fpgateway/register.go
+++ b/internal/fpgateway/register.go
@@ -53,7 +53,7 @@
 		return 0, err
 	}
 	_, err = g.store.Commit(ctx, fpstore.Transaction{
-		Puts: []fpstore.Put{{Key: hostsPrefix + g.settings().Host, Value: []byte(g.settings().peerAddress() + " " + g.settings().Place.Region), Lease: lease}},
+		Puts: []fpstore.Put{{Key: hostsPrefix + g.settings().Host, Value: []byte(g.settings().hostEntry()), Lease: lease}},
 	})
 	if err != nil {
 		return 0, err
--- a/internal/fpgateway/rollout.go
+++ b/internal/fpgateway/rollout.go
@@ -25,6 +25,8 @@
 	renewShare = 3
 	// acquireJitter spreads the hosts that want the lease at the same moment.
 	acquireJitter = 250 * time.Millisecond
+	// acquireRetry is the pause after the store did not give the lease.
+	acquireRetry = time.Second
 	// orderTimeout bounds a report or an order; the longest way takes 60 ms there and back.
 	orderTimeout = 900 * time.Millisecond
 	// watchLoading is the pace of asking a loading replica whether it is done.
@@ -51,6 +53,8 @@
 		lease   fporder.Lease
 		id      fpstore.Lease
 		renewed time.Duration
+		// retry is when the lease may be asked for again.
+		retry   time.Duration
 		active  map[string]bool
 		waiting sync.WaitGroup
 	}
@@ -98,7 +102,14 @@
 		if s.catalog == nil || s.orderHolder != "" || s.away {
 			return false
 		}
-		return fpclock.Sleep(ctx, rand.N(acquireJitter)) && r.acquire(ctx)
+		if now < r.retry || !fpclock.Sleep(ctx, rand.N(acquireJitter)) {
+			return false
+		}
+		if r.acquire(ctx) {
+			return true
+		}
+		r.retry = r.gateway.clock() + acquireRetry
+		return false
 	}
 	if now-r.renewed < r.gateway.settings().OrderLease/renewShare {
 		return true
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -47,6 +47,7 @@
 	// hostEntry is another host; the address is nil when it takes no notices.
 	hostEntry struct {
 		region  string
+		zone    string
 		address *net.UDPAddr
 	}
 
@@ -66,8 +67,10 @@
 		stores   []fpbalance.CacheStore
 		hosts    int
 		// names are the hosts, and regions those of each region, sorted.
-		names     []string
-		regions   map[string][]string
+		names   []string
+		regions map[string][]string
+		// zone holds the hosts of this host's availability zone, sorted.
+		zone      []string
 		addresses map[string]*net.UDPAddr
 		// all and near are the hosts that are told of weights and of requests.
 		all      []*net.UDPAddr
@@ -170,7 +173,7 @@
 		delete(c.hosts, name)
 		return
 	}
-	h, err := hostAddress(i.Value)
+	h, err := decodeHost(i.Value)
 	if err != nil {
 		c.gateway.log("host without an address for notices", "Peer", name, "Error", err.Error())
 	}
@@ -297,6 +300,9 @@
 		h := c.hosts[name]
 		s.regions[h.region] = append(s.regions[h.region], name)
 		s.addresses[name] = h.address
+		if h.zone == c.gateway.settings().Place.Zone {
+			s.zone = append(s.zone, name)
+		}
 		if name == c.gateway.settings().Host || h.address == nil {
 			continue
 		}
--- a/internal/fpgateway/world_test.go
+++ b/internal/fpgateway/world_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,6 +23,7 @@
 	"github.com/fescuepoint/fescuepoint/pkg/fplimit"
 	"github.com/fescuepoint/fescuepoint/platform/fpadapter"
 	"github.com/fescuepoint/fescuepoint/platform/fpfake"
+	"github.com/fescuepoint/fescuepoint/platform/fpsoak"
 )
 
 type (
@@ -156,6 +158,30 @@
 	})
 }
 
+// beside starts one more host of the same zone; both reach the store through
+// proxies of their own.
+func (w *world) beside(change func(*fpgateway.Settings)) (*world, map[*world]*fpsoak.Proxy) {
+	w.t.Helper()
+	other := &world{t: w.t, store: w.store, engines: w.engines, services: w.services, settings: w.settings, logs: &lockedBuffer{}}
+	other.settings.Host = "h2"
+	proxies := make(map[*world]*fpsoak.Proxy)
+	for _, o := range []*world{w, other} {
+		p, err := fpsoak.NewProxy(w.store.Address())
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		w.t.Cleanup(p.Close)
+		proxies[o] = p
+		o.settings.Store = p.Address()
+		o.settings.Callers, o.settings.Ready, o.settings.Metrics = freeAddress(w.t), freeAddress(w.t), freeAddress(w.t)
+		o.settings.PeerPort = int(netip.MustParseAddrPort(freeAddress(w.t)).Port())
+		change(&o.settings)
+		o.start()
+		w.await(o.ready, "ready")
+	}
+	return other, proxies
+}
+
 // await waits for a condition, 5 s at most.
 func (w *world) await(ok func() bool, what string) {
 	w.t.Helper()
--- a/internal/fpstore/follower.go
+++ b/internal/fpstore/follower.go
@@ -16,9 +16,10 @@
 	watchSlack = 700 * time.Millisecond
 	// rangeTimeout bounds the reading of one page.
 	rangeTimeout = 2 * time.Second
-	// defaultGather is the pause after a batch of events, so that changes in quick
-	// succession cost one call and not one each.
+	// defaultGather and defaultAsk are far below the seconds within which users
+	// want a change in force.
 	defaultGather = 500 * time.Millisecond
+	defaultAsk    = 500 * time.Millisecond
 	// firstBackoff and lastBackoff bound the pause after a failed call.
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = 500 * time.Millisecond
@@ -35,16 +36,28 @@
 		Err      error
 	}
 
+	// Pace says how often the store is called.
+	Pace struct {
+		// Wait is how long a watch waits for an event. A waiting watch proves nothing
+		// of the store's present state.
+		Wait time.Duration
+		// Gather is the pause after a batch of events, so that changes in quick
+		// succession cost one call and not one each.
+		Gather time.Duration
+		// Ask is the pause between two questions to another host.
+		Ask time.Duration
+	}
+
 	// Follower keeps its owner informed of all keys under a prefix.
 	Follower struct {
 		Store  Store
 		Prefix string
 		Clock  fpclock.Clock
-		// Wait is how long a watch waits for an event, 0 for the default. A waiting
-		// watch proves nothing of the store's present state.
-		Wait time.Duration
-		// Gather returns the pause after a batch of events; nil means the default.
-		Gather func() time.Duration
+		// Pace returns the pace of watches; nil means the default.
+		Pace func() Pace
+		// Nearby asks another host for the changes after a revision in place of the
+		// store; false sends the follower to the store. Nil is always false.
+		Nearby func(ctx context.Context, after int64) (Update, bool)
 		// Deliver is called from Run with each update, in order.
 		Deliver func(Update)
 	}
@@ -53,14 +66,20 @@
 // Run reads the range once and then watches it, until the context ends. The
 // range is read anew when the store has dropped the history in between.
 func (f *Follower) Run(ctx context.Context) error {
-	gather := f.Gather
-	if gather == nil {
-		gather = func() time.Duration { return defaultGather }
+	pace := f.Pace
+	if pace == nil {
+		pace = func() Pace { return Pace{Wait: defaultWait, Gather: defaultGather, Ask: defaultAsk} }
 	}
 	after := int64(-1)
 	backoff := firstBackoff
 	for ctx.Err() == nil {
-		u := f.next(ctx, after)
+		if u, ok := f.nearby(ctx, after); ok {
+			f.Deliver(u)
+			after = u.Revision
+			fpclock.Sleep(ctx, pace().Ask)
+			continue
+		}
+		u := f.next(ctx, after, pace().Wait)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -78,23 +97,30 @@
 			after = u.Revision
 		}
 		backoff = firstBackoff
-		if len(u.Items) > 0 && !u.Complete && !fpclock.Sleep(ctx, gather()) {
+		if len(u.Items) > 0 && !u.Complete && !fpclock.Sleep(ctx, pace().Gather) {
 			return nil
 		}
 	}
 	return nil
 }
 
-// next returns the next update after a revision; -1 asks for everything.
-func (f *Follower) next(ctx context.Context, after int64) Update {
+// nearby returns the changes that another host knows of; the first list always
+// comes from the store.
+func (f *Follower) nearby(ctx context.Context, after int64) (Update, bool) {
+	if f.Nearby == nil || after < 0 {
+		return Update{}, false
+	}
+	u, ok := f.Nearby(ctx, after)
+	u.Revision = max(u.Revision, after)
+	return u, ok
+}
+
+// next returns the next update of the store after a revision; -1 asks for everything.
+func (f *Follower) next(ctx context.Context, after int64, wait time.Duration) Update {
 	if after < 0 {
 		return f.list(ctx)
 	}
 	sent := f.Clock()
-	wait := f.Wait
-	if wait == 0 {
-		wait = defaultWait
-	}
 	watchCtx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	items, revision, err := f.Store.Watch(watchCtx, f.Prefix, after, wait)
