Short prompts go before long ones of their rank

Cause: all reviews of a team had one rank at the engines, so that one whose context was cached waited behind those that had 17,000 tokens to compute; late ones too.

Change: a request with more than 10,000 tokens to compute takes the next rank of its team, and late work has two ranks in the same way. The prediction uses the rank that each replica would be told.

TestShortFirst fails without (rank 4 and 9 for all).

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -98,6 +98,7 @@
 		Objective: q.route.Objective,
 		Waited:    now - q.arrived,
 		Rank:      q.route.Rank(q.team),
+		LongRank:  q.route.LongRank(q.team),
 		Exclude:   q.excluded,
 		Stores:    q.stores(),
 		Blind:     q.state.hosts > maxToldHosts,
--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -45,6 +45,9 @@
 	// moveWeight is what a second of moving costs beside the wait: it takes a link
 	// and no engine.
 	moveWeight = 0.2
+	// longTokens is more than the own part of the users' long prompts and less than
+	// one with its shared part (3,720 and 13,300 tokens on average).
+	longTokens = 10_000
 	// minCopyTokens is the least number of tokens that is worth a move.
 	minCopyTokens = 1024
 )
@@ -70,16 +73,32 @@
 // can't come within its objective is ranked behind all that can: when load is
 // at its worst a queue in order of arrival would make every answer late.
 func (b *Balancer) Choose(replicas []Replica, q Request, link Link, now time.Duration) (Choice, error) {
-	q.Rank = min(q.Rank, LateRank-1)
 	c, err := b.best(replicas, q, link, now)
 	if q.Objective == 0 || errors.Is(err, ErrNoReplica) || !c.Replica.Engine || c.Wait <= q.Objective-q.Waited {
 		return c, err
 	}
-	q.Rank = LateRank
+	q.late = true
 	return b.best(replicas, q, link, now)
 }
 
-// best returns the replica with the least score for a request of a rank.
+// rank returns the priority of a request with so many tokens to compute. Short
+// ones go first: at the same load more callers are answered in time, and a long
+// one that waits for them waits little longer.
+func (q Request) rank(miss int) int {
+	long := miss > longTokens
+	switch {
+	case q.late && long:
+		return LateRank
+	case q.late:
+		return ShortLateRank
+	case long:
+		return min(max(q.LongRank, q.Rank), ShortLateRank)
+	default:
+		return min(q.Rank, ShortLateRank)
+	}
+}
+
+// best returns the replica with the least score for a request.
 func (b *Balancer) best(replicas []Replica, q Request, link Link, now time.Duration) (Choice, error) {
 	home := b.home(replicas, q)
 	best := Choice{Score: -1}
@@ -119,7 +138,7 @@
 }
 
 func (b *Balancer) predict(replicas []Replica, r Replica, q Request, link Link, home bool, now time.Duration) Choice {
-	c := Choice{Replica: r, Rank: q.Rank}
+	c := Choice{Replica: r, Rank: q.rank(0)}
 	l := b.load(r.ID)
 	seconds := b.distance(r) + l.lag(now)
 	if !r.Engine {
@@ -135,6 +154,7 @@
 		c.Source, c.Copied, move = b.source(replicas, r, q, salt, c.Hit, link, now)
 	}
 	c.Miss = total - c.Hit - c.Copied
+	c.Rank = q.rank(c.Miss)
 	c.Save = b.save(r, q, salt, now)
 	credit := 0.0
 	if home && c.Hit == 0 && c.Copied == 0 {
@@ -142,7 +162,7 @@
 	}
 	rate := l.tokensPerSecond()
 	compute := float64(c.Miss) / rate
-	ahead := l.ahead(q.Rank, now) + l.under(q.Rank, now)
+	ahead := l.ahead(c.Rank, now) + l.under(c.Rank, now)
 	c.queued, c.base = ahead+c.Miss, seconds+move+l.work(now)*runningSeconds
 	seconds = c.base + float64(c.queued)/rate
 	cost := b.remoteCost(r) + compute*recomputeWeight + move*moveWeight - credit
@@ -292,7 +312,7 @@
 	l.circuit = fproute.Circuit{}
 	if !c.Replica.Engine {
 		l.observe((waited - c.Wait).Seconds(), now)
-	} else if c.Rank != LateRank {
+	} else if c.Rank < ShortLateRank {
 		l.learnRate(c.queued, waited.Seconds()-c.base)
 	}
 }
--- a/pkg/fpbalance/balancer_test.go
+++ b/pkg/fpbalance/balancer_test.go
@@ -151,6 +151,41 @@
 	is.True(c.Wait < 250*time.Millisecond)
 }
 
+// TestShortFirst replays a burst of which a part finds its shared part cached:
+// what is quick to compute doesn't wait behind what is not, on time or late.
+func TestShortFirst(t *testing.T) {
+	is := is.New(t)
+	b := New(Place{Zone: "z1", Region: "r1"})
+	replicas := engines()[:1]
+	q := with(review(), func(q *Request) { q.Rank, q.LongRank, q.Objective = 4, 5, 800*time.Millisecond })
+	cold := func(i int) Request {
+		return with(q, func(q *Request) {
+			q.Parts = []Part{{ID: fmt.Sprint("manual ", i), Tokens: 13_300}, {ID: "own", Tokens: 3_700}}
+		})
+	}
+	b.Directory().Stored("a", "salt", "manual", 13_300, true, start)
+	ranks := make(map[int]int)
+	for i := range 8 {
+		c, err := b.Choose(replicas, cold(i), Link{}, start)
+		is.NoErr(err)
+		b.Sent(c, cold(i), start)
+		ranks[c.Rank]++
+	}
+	is.True(ranks[5] >= 1)
+	is.True(ranks[LateRank] >= 4)
+	c, err := b.Choose(replicas, q, Link{}, start)
+	is.NoErr(err)
+	is.Equal(c.Rank, 4)
+	is.True(c.Wait < q.Objective)
+	late := with(q, func(q *Request) { q.Waited = time.Second })
+	c, err = b.Choose(replicas, late, Link{}, start)
+	is.NoErr(err)
+	is.Equal(c.Rank, ShortLateRank)
+	c, err = b.Choose(replicas, with(cold(9), func(q *Request) { q.Waited = time.Second }), Link{}, start)
+	is.NoErr(err)
+	is.Equal(c.Rank, LateRank)
+}
+
 // TestLoadReturns checks that all work that was counted is uncounted.
 func TestLoadReturns(t *testing.T) {
 	is := is.New(t)
--- a/pkg/fpbalance/types.go
+++ b/pkg/fpbalance/types.go
@@ -14,10 +14,12 @@
 )
 
 const (
-	// LateRank is the priority of work that is late already: it goes behind all
-	// work that can still be on time.
-	LateRank = 9
-	ranks    = LateRank + 1
+	// ShortLateRank and LateRank are the priorities of work that is late already,
+	// with a short and with a long prompt to compute: it goes behind all work that
+	// can still be on time.
+	ShortLateRank = 8
+	LateRank      = 9
+	ranks         = LateRank + 1
 )
 
 type (
@@ -72,6 +74,8 @@
 		Output int
 		// Rank is the priority at the replica, 0 first.
 		Rank int
+		// LongRank is that priority when a long prompt has to be computed.
+		LongRank int
 		// Salt returns the namespace of cached parts for a version of the weights.
 		Salt func(version int64) string
 		// Newest is the newest version named for the model, and NamedFor how long it has been.
@@ -89,6 +93,8 @@
 		Stores []CacheStore
 		// Blind says that nothing is heard of the work sent to other regions.
 		Blind bool
+		// late says that the first token can't come within the objective.
+		late bool
 		// Exclude lists replicas that were tried already.
 		Exclude []string
 	}
@@ -104,8 +110,8 @@
 		Source string
 		// Save is the store that is to get the shared parts, nil for none.
 		Save *CacheStore
-		// Rank is the priority that the replica is told: LateRank when the first
-		// token can't come within the objective.
+		// Rank is the priority that the replica is told: one of the late ranks when
+		// the first token can't come within the objective.
 		Rank int
 		// Wait is the predicted time to the first byte of the answer.
 		Wait  time.Duration
--- a/pkg/fpcatalog/catalog.go
+++ b/pkg/fpcatalog/catalog.go
@@ -103,10 +103,16 @@
 
 // Rank returns the rank of a team's request, 0 first: the team's priority goes
 // before the route's, which orders the requests of one team.
-func (r *Route) Rank(t *Team) int {
-	rank := min(r.Priority, routeRanks-1)
-	if t != nil && t.Priority != nil {
-		rank += *t.Priority * routeRanks
+func (r *Route) Rank(t *Team) int { return teamRank(t) + min(r.Priority, routeRanks-1) }
+
+// LongRank returns the rank of a team's request that keeps a replica busy for
+// long: it goes behind short ones of the route and before those of the team's
+// that matter less.
+func (r *Route) LongRank(t *Team) int { return teamRank(t) + min(r.Priority+1, routeRanks-1) }
+
+func teamRank(t *Team) int {
+	if t == nil || t.Priority == nil {
+		return 0
 	}
-	return rank
+	return *t.Priority * routeRanks
 }
--- a/pkg/fpcatalog/catalog_test.go
+++ b/pkg/fpcatalog/catalog_test.go
@@ -55,6 +55,8 @@
 	is.True(urgent.Rank(nil) < calm.Rank(nil))
 	is.True(calm.Rank(&Team{Priority: &first}) < urgent.Rank(&Team{Priority: &second}))
 	is.True(urgent.Rank(&Team{Priority: &second}) < calm.Rank(&Team{Priority: &second}))
+	is.True(calm.Rank(nil) < calm.LongRank(nil))
+	is.True(calm.LongRank(&Team{Priority: &first}) < urgent.Rank(&Team{Priority: &second}))
 }
 
 func TestRepeatable(t *testing.T) {
