A store that fails is called less

Cause: while the store was down each of 83 hosts called it twice a second; every refused call is paid for, and the store meets all of them when it returns.

Change: the pause after failed calls grows to 2 s for hosts whose zone's reader answers, 0.5 s for readers. Meanwhile they ask the reader, and take its news as soon as it has some. News that is too old bars a reader for 0.6 s, none for 2 s.

TestFollowerBackoff: at most 12 calls in 10 s of outage (20 before), news taken within 0.6 s.

--- a/internal/fpgateway/news.go
+++ b/internal/fpgateway/news.go
@@ -17,8 +17,13 @@
 	askTimeout = 300 * time.Millisecond
 	// askEvery is the pace of questions.
 	askEvery = 600 * time.Millisecond
-	// askAgain is the pause after a host gave no answer, or one that was too old.
+	// askAgain is the pause after a host gave no answer.
 	askAgain = 2 * time.Second
+	// backoffFirst and backoffOthers bound the pause after a failed call to the store,
+	// of a zone's reader and of hosts that hear from it when the store is back:
+	// a store in trouble is not asked by all of them.
+	backoffFirst  = 500 * time.Millisecond
+	backoffOthers = 2 * time.Second
 	// maxNewsAge is the oldest news that is taken from another host. With the pace
 	// of questions and a call to the store after it, a change is in force within
 	// the users' shortest bound of 3 s when the host asked is cut off.
@@ -44,8 +49,11 @@
 type (
 	// readers remembers which hosts to ask; it belongs to the follower's goroutine.
 	readers struct {
+		// failed holds until when a host is not asked.
 		failed map[string]time.Duration
 		asked  string
+		// answered says that the latest question was answered, with news of any age.
+		answered bool
 	}
 )
 
@@ -81,14 +89,18 @@
 
 // pace returns how often this host calls the store or asks another host.
 func (g *Gateway) pace() fpstore.Pace {
-	p := fpstore.Pace{Wait: g.settings().Fresh.Revoke / watchShare, Gather: gatherFew, Ask: askEvery}
+	p := fpstore.Pace{Wait: g.settings().Fresh.Revoke / watchShare, Gather: gatherFew, Ask: askEvery, Backoff: backoffFirst}
 	s := g.state.Load()
-	switch {
-	case g.readsForOthers(s):
+	if g.readsForOthers(s) {
 		p.Wait, p.Gather = min(p.Wait, watchShared), gatherShared
-	case s.hosts > manyHosts:
+		return p
+	}
+	if s.hosts > manyHosts {
 		p.Gather = gatherMany
 	}
+	if g.readers.answered {
+		p.Backoff = backoffOthers
+	}
 	return p
 }
 
@@ -108,10 +120,7 @@
 }
 
 // failing reports whether a host gave no usable answer lately.
-func (r *readers) failing(name string, now time.Duration) bool {
-	at, ok := r.failed[name]
-	return ok && now-at < askAgain
-}
+func (r *readers) failing(name string, now time.Duration) bool { return now < r.failed[name] }
 
 // nearby asks the hosts of the zone that read the store for what changed.
 func (g *Gateway) nearby(ctx context.Context, after int64) (fpstore.Update, bool) {
@@ -128,19 +137,22 @@
 		n, err := g.asker.After(callCtx, address.String(), name, after)
 		cancel()
 		age := g.clock() - n.Sent
+		g.readers.answered = err == nil
 		if err == nil && age <= maxNewsAge {
 			delete(g.readers.failed, name)
+			g.metrics.Count("news_taken", 1)
 			g.readsThrough(name, "", age)
 			return fpstore.Update{Items: n.Items, Revision: n.Revision, Sent: n.Sent}, true
 		}
 		if ctx.Err() != nil {
 			break
 		}
-		g.readers.failed[name] = g.clock()
-		reason := "its news is old"
+		g.metrics.Count("news_refused", 1)
+		reason, pause := "its news is old", askEvery
 		if err != nil {
-			reason, age = err.Error(), 0
+			reason, pause, age = err.Error(), askAgain, 0
 		}
+		g.readers.failed[name] = g.clock() + pause
 		g.readsThrough("", name+": "+reason, age)
 	}
 	g.readsThrough("", "first of its zone, or nobody to ask", 0)
--- a/internal/fpstore/follower.go
+++ b/internal/fpstore/follower.go
@@ -20,9 +20,9 @@
 	// want a change in force.
 	defaultGather = 500 * time.Millisecond
 	defaultAsk    = 500 * time.Millisecond
-	// firstBackoff and lastBackoff bound the pause after a failed call.
-	firstBackoff = 50 * time.Millisecond
-	lastBackoff  = 500 * time.Millisecond
+	// firstBackoff is the pause after a failed call; it doubles with each further one.
+	firstBackoff   = 50 * time.Millisecond
+	defaultBackoff = 500 * time.Millisecond
 )
 
 type (
@@ -46,6 +46,8 @@
 		Gather time.Duration
 		// Ask is the pause between two questions to another host.
 		Ask time.Duration
+		// Backoff is the longest pause after a failed call.
+		Backoff time.Duration
 	}
 
 	// Follower keeps its owner informed of all keys under a prefix.
@@ -68,17 +70,25 @@
 func (f *Follower) Run(ctx context.Context) error {
 	pace := f.Pace
 	if pace == nil {
-		pace = func() Pace { return Pace{Wait: defaultWait, Gather: defaultGather, Ask: defaultAsk} }
+		pace = func() Pace {
+			return Pace{Wait: defaultWait, Gather: defaultGather, Ask: defaultAsk, Backoff: defaultBackoff}
+		}
 	}
 	after := int64(-1)
 	backoff := firstBackoff
+	resume := f.Clock()
 	for ctx.Err() == nil {
 		if u, ok := f.nearby(ctx, after); ok {
 			f.Deliver(u)
-			after = u.Revision
+			after, backoff = u.Revision, firstBackoff
 			fpclock.Sleep(ctx, pace().Ask)
 			continue
 		}
+		if left := resume - f.Clock(); left > 0 {
+			// Another host may reach the store before it is time to call it again.
+			fpclock.Sleep(ctx, min(left, pace().Ask))
+			continue
+		}
 		u := f.next(ctx, after, pace().Wait)
 		if ctx.Err() != nil {
 			return nil
@@ -88,10 +98,8 @@
 		case errors.Is(u.Err, ErrCompacted):
 			after = -1
 		case u.Err != nil:
-			if !fpclock.Sleep(ctx, backoff) {
-				return nil
-			}
-			backoff = min(2*backoff, lastBackoff)
+			resume = f.Clock() + backoff
+			backoff = min(2*backoff, pace().Backoff)
 			continue
 		default:
 			after = u.Revision
