Crashed replicas cost callers less

A repeat that was not granted stayed counted as work at its replica for ever. A probe of a replica that was refused or whose caller left barred the replica for good.

Change: the budget is charged once for each send that arrived, before the work is counted; up to 16 replicas are tried. A refused connection or another replica at the address opens the circuit at once; the latter, which is proof for everybody, is told to all hosts. A probe that ends without a word lets another follow. Replicas that can't be reached are no source of copies.

TestUnsentIsFree, TestBudgetLeavesNoWork, TestDown, TestGoneIsTold; with the probe's end taken out TestDown fails.

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -4,18 +4,23 @@
 	"context"
 	"fmt"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpconn"
+	"github.com/fescuepoint/fescuepoint/internal/fpnotice"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
 	"github.com/fescuepoint/fescuepoint/pkg/fpcatalog"
 )
 
 const (
-	// maxSends bounds the replicas tried for one request, those that did not run it included.
+	// maxSends bounds the replicas that get one request, those that did not run it
+	// included; maxTries also counts those that could not be reached: a third of
+	// the largest service may be down at once (users' sheets).
 	maxSends = 6
+	maxTries = 16
 	// recentRepeatable is how lately a kept connection must have served for a
 	// request that may run again, recentOnce for one that may not: a kept
 	// connection can be closed by the other side just as it is used.
@@ -39,6 +44,9 @@
 	again
 )
 
+// errBudget means that one more send would go beyond the retry budget.
+var errBudget = errors.New("the retry budget is used up")
+
 type (
 	verdict int
 )
@@ -50,7 +58,7 @@
 		if q.sends > 0 {
 			q.state = g.state.Load()
 		}
-		if q.sends >= maxSends || q.runs >= q.route.Attempts {
+		if q.sends >= maxSends || len(q.excluded) >= maxTries || q.runs >= q.route.Attempts {
 			q.refuse("no attempt left", q.retryAfter())
 			return
 		}
@@ -59,10 +67,6 @@
 			q.refuse(err.Error(), max(c.Wait-q.route.Objective, q.retryAfter()))
 			return
 		}
-		if q.sends > 0 && !g.retry(q.service.Name, q.state.hosts) {
-			q.refuse("the retry budget is used up", q.retryAfter())
-			return
-		}
 		q.choice = c
 		if q.attempt(ctx, c) == done {
 			return
@@ -74,16 +78,25 @@
 	}
 }
 
-// choose returns the replica for the next attempt.
+// choose returns the replica for the next attempt and counts the attempt there.
+// Each send that arrived is paid for once by the next one; a replica that could
+// not be reached got nothing, so that trying another costs no more.
 func (q *request) choose() (fpbalance.Choice, error) {
 	g := q.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c, err := g.balancer.Choose(q.state.services[q.service.Name], q.want(), q.link(), g.clock())
-	if err == nil {
-		g.balancer.Sent(c, q.want(), g.clock())
+	if err != nil {
+		return c, err
 	}
-	return c, err
+	if q.sends > q.paid {
+		if !g.window(q.service.Name).Take(g.settings().Retry, q.state.hosts, g.clock()) {
+			return c, errBudget
+		}
+		q.paid = q.sends
+	}
+	g.balancer.Sent(c, q.want(), g.clock())
+	return c, nil
 }
 
 // want describes the request for the choice.
@@ -258,8 +271,10 @@
 	newest := q.state.newest(q.caller.Model).version
 	switch {
 	case a.Status == http.StatusMisdirectedRequest && r.Replica != "" && r.Replica != c.Replica.ID:
-		g.log("address has another replica", "RequestID", q.caller.ID, "Replica", c.Replica.ID, "Found", r.Replica)
-		g.fail(c.Replica.ID)
+		if g.gone(c.Replica.ID) {
+			g.log("address has another replica", "RequestID", q.caller.ID, "Replica", c.Replica.ID, "Found", r.Replica)
+			g.tell(q.state.all, fpnotice.Notice{Gone: &fpnotice.Gone{Replica: c.Replica.ID}})
+		}
 	case a.Status == http.StatusMisdirectedRequest && c.Replica.Engine && newest > c.Replica.Version:
 		// The replica has newer weights than believed: the newest, most likely.
 		g.post(func(k *control) { k.saw(c.Replica.ID, newest, 0) })
@@ -272,14 +287,14 @@
 // broken handles an attempt without an answer.
 func (q *request) broken(ctx context.Context, c fpbalance.Choice, err error) verdict {
 	g := q.gateway
-	if ctx.Err() == nil {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		g.down(c.Replica.ID)
+	case ctx.Err() == nil:
 		g.fail(c.Replica.ID)
 	}
 	if errors.Is(err, fpconn.ErrNotSent) {
 		q.note("%s not sent: %v", c.Replica.ID, err)
-		if len(q.excluded) > maxSends {
-			q.sends = maxSends
-		}
 		return again
 	}
 	q.sends++
@@ -312,3 +327,10 @@
 	defer g.mu.Unlock()
 	g.balancer.Failed(id, g.clock())
 }
+
+// down notes that a replica is gone.
+func (g *Gateway) down(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.Down(id, g.clock())
+}
--- /dev/null
+++ b/internal/fpgateway/dispatch_test.go
@@ -0,0 +1,62 @@
+package fpgateway
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
+	"github.com/fescuepoint/fescuepoint/internal/fplog"
+	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
+	"github.com/fescuepoint/fescuepoint/pkg/fpcatalog"
+	"github.com/fescuepoint/fescuepoint/pkg/fplimit"
+)
+
+// budgetRequest returns a request to a service of two replicas, with a budget of one repeat.
+func budgetRequest() *request {
+	s := Settings{Retry: fplimit.RetryRule{Slack: 4, Window: 10 * time.Second}}.WithDefaults()
+	g := New(s, Parts{Clock: fpclock.Boot, Log: fplog.NewQueue(&bytes.Buffer{})})
+	return &request{
+		gateway: g,
+		state: &snapshot{hosts: 1, services: map[string][]fpbalance.Replica{"app": {
+			{ID: "s1", Service: "app", Slots: 4}, {ID: "s2", Service: "app", Slots: 4},
+		}}},
+		route:   &fpcatalog.Route{Name: "call"},
+		service: &fpcatalog.Service{Name: "app"},
+		ends:    g.clock() + time.Minute,
+	}
+}
+
+// TestUnsentIsFree replays a crash of many replicas: trying another after one
+// that could not be reached takes nothing from the retry budget, since nothing arrived.
+func TestUnsentIsFree(t *testing.T) {
+	is := is.New(t)
+	q := budgetRequest()
+	for range 5 {
+		_, err := q.choose()
+		is.NoErr(err)
+	}
+	q.sends = 1
+	for range 5 {
+		_, err := q.choose()
+		is.NoErr(err)
+	}
+	q.sends = 2
+	_, err := q.choose()
+	is.True(errors.Is(err, errBudget))
+}
+
+// TestBudgetLeavesNoWork checks that a repeat that is not granted is not
+// counted as work at the replica it would have gone to.
+func TestBudgetLeavesNoWork(t *testing.T) {
+	is := is.New(t)
+	q := budgetRequest()
+	q.gateway.current.Store(&Settings{Retry: fplimit.RetryRule{Window: time.Second}})
+	q.sends = 1
+	c, err := q.choose()
+	is.True(errors.Is(err, errBudget))
+	is.Equal(q.gateway.balancer.Work(c.Replica.ID, q.gateway.clock()), 0.0)
+}
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -204,13 +204,6 @@
 	return s.catalog != nil && !g.draining.Load() && s.proof.AllowsKeys(g.settings().Fresh, g.clock())
 }
 
-// retry reports whether the service's budget allows one more send.
-func (g *Gateway) retry(service string, hosts int) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.window(service).Take(g.settings().Retry, hosts, g.clock())
-}
-
 func (g *Gateway) count(service string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -44,9 +44,11 @@
 		ledger *fpoutcome.Ledger
 		// trail tells of each attempt, for the log.
 		trail []string
-		// runs counts the attempts that may have run, sends all that left this host.
+		// runs counts the attempts that may have run, sends all that left this host,
+		// paid those for which the retry budget granted another.
 		runs     int
 		sends    int
+		paid     int
 		excluded []string
 		choice   fpbalance.Choice
 		stream   streamState
--- a/internal/fpgateway/news_test.go
+++ b/internal/fpgateway/news_test.go
@@ -62,3 +62,30 @@
 		}
 	}
 }
+
+// TestGoneIsTold has two replicas start anew under other IDs: the first host
+// that meets one of them tells the other, whose requests then go elsewhere.
+func TestGoneIsTold(t *testing.T) {
+	is := is.New(t)
+	w := prepareWorld(t)
+	w.store.Put("op/config", document(1))
+	other, _ := w.beside(func(*fpgateway.Settings) {})
+	reborn := w.services[0]
+	w.store.Put("servers/s0", map[string]any{
+		"service": "app", "address": reborn.Address(), "zone": "z1", "version": "1", "slot_count": 4,
+		"state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1,
+	})
+	for _, o := range []*world{w, other} {
+		w.await(func() bool { return strings.Contains(o.logs.String(), `"Replica":"s0"`) }, "s0 registered")
+	}
+	fpclock.Sleep(context.Background(), time.Second)
+	w.await(func() bool {
+		is.Equal(w.ask("call", nil).status, http.StatusOK)
+		return strings.Contains(w.logs.String(), "address has another replica")
+	}, "one host meets the other replica")
+	fpclock.Sleep(context.Background(), 100*time.Millisecond)
+	for range 12 {
+		is.Equal(other.ask("call", nil).status, http.StatusOK)
+	}
+	is.True(!strings.Contains(other.logs.String(), "421 not run"))
+}
--- a/internal/fpgateway/peers.go
+++ b/internal/fpgateway/peers.go
@@ -69,6 +69,9 @@
 	if w := n.Work; w != nil {
 		g.heardWork(w)
 	}
+	if v := n.Gone; v != nil {
+		g.gone(v.Replica)
+	}
 	if c := n.Cache; c != nil {
 		g.heardCache(c)
 		if c.Relay {
@@ -109,6 +112,19 @@
 	g.balancer.Heard(w.Replica, w.ID, w.Tokens, w.Rank, w.Salt, parts, now)
 }
 
+// gone notes that another replica answers at a replica's address: this one has
+// ended. It reports whether that is news. Only such proof is told to other hosts:
+// a refused connection may be this host's own trouble.
+func (g *Gateway) gone(id string) bool {
+	now := g.clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	news := g.balancer.Reachable(id, now)
+	g.balancer.Forget(id)
+	g.balancer.Down(id, now)
+	return news
+}
+
 // until returns the moment in so many milliseconds, 0 for none.
 func (g *Gateway) until(ms int) time.Duration {
 	if ms <= 0 {
--- a/internal/fpnotice/notice.go
+++ b/internal/fpnotice/notice.go
@@ -49,6 +49,11 @@
 		AgeMs   int64
 	}
 
+	// Gone tells that another replica answers at a replica's address.
+	Gone struct {
+		Replica string
+	}
+
 	// Held is how many tokens of a part a replica holds now.
 	Held struct {
 		Salt   string
@@ -71,6 +76,7 @@
 		Work    *Work    `json:",omitempty"`
 		Weights *Weights `json:",omitempty"`
 		Named   *Named   `json:",omitempty"`
+		Gone    *Gone    `json:",omitempty"`
 		Cache   *Cache   `json:",omitempty"`
 	}
 
--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -200,7 +200,8 @@
 		}
 	}
 	for _, r := range replicas {
-		if r.ID == to.ID || r.Version != to.Version || r.Loading {
+		// A source that is gone costs the replica hundreds of milliseconds.
+		if r.ID == to.ID || r.Version != to.Version || r.Loading || !b.Reachable(r.ID, now) {
 			continue
 		}
 		consider(r.ID, r.Address, link.Megabits, factor(r.Zone, r.Region, to))
@@ -323,6 +324,7 @@
 	l.running = max(l.running-1, 0)
 	if !started {
 		l.started(c)
+		l.circuit.Abandoned()
 	}
 }
 
@@ -331,6 +333,12 @@
 	b.load(id).circuit.Failed(time.Unix(0, int64(now)))
 }
 
+// Down records proof that a replica is gone: nobody listens at its address, or
+// another replica does.
+func (b *Balancer) Down(id string, now time.Duration) {
+	b.load(id).circuit.Down(time.Unix(0, int64(now)))
+}
+
 // Reported records a replica's own word of its running and waiting requests.
 func (b *Balancer) Reported(id string, running, waiting int, now time.Duration) {
 	l := b.load(id)
--- a/pkg/fpbalance/balancer_test.go
+++ b/pkg/fpbalance/balancer_test.go
@@ -75,6 +75,14 @@
 			is.NoErr(err)
 			is.Equal(c.Source, "")
 		}},
+		"a holder that is gone is not copied from": {request: review(), prepare: func(b *Balancer) {
+			b.Directory().Stored("b", "salt", "manual", 13_300, true, start)
+			b.Down("b", start)
+		}, check: func(is *is.I, c Choice, err error) {
+			is.NoErr(err)
+			is.True(c.Replica.ID != "b")
+			is.Equal(c.Source, "")
+		}},
 		"another salt's parts don't count": {request: review(), prepare: func(b *Balancer) {
 			b.Directory().Stored("b", "older", "manual", 13_300, true, start)
 		}, check: func(is *is.I, c Choice, err error) {
@@ -186,6 +194,35 @@
 	is.Equal(c.Rank, LateRank)
 }
 
+// TestDown replays a crash: one call to an address where nobody listens keeps
+// all further work away, and single ones are tried again later.
+func TestDown(t *testing.T) {
+	is := is.New(t)
+	b := New(Place{Zone: "z1", Region: "r1"})
+	replicas := engines()[:2]
+	b.Directory().Stored("b", "salt", "manual", 13_300, true, start)
+	b.Down("b", start)
+	for range 5 {
+		c, err := b.Choose(replicas, review(), Link{}, start+time.Second)
+		is.NoErr(err)
+		is.Equal(c.Replica.ID, "a")
+	}
+	later := start + 3*time.Second
+	c, err := b.Choose(replicas, review(), Link{}, later)
+	is.NoErr(err)
+	is.Equal(c.Replica.ID, "b")
+	b.Sent(c, review(), later)
+	probe := c
+	c, err = b.Choose(replicas, review(), Link{}, later)
+	is.NoErr(err)
+	is.Equal(c.Replica.ID, "a")
+	// The probe's caller leaves, or the replica is full: the next one may try.
+	b.Ended(probe, false)
+	c, err = b.Choose(replicas, review(), Link{}, later)
+	is.NoErr(err)
+	is.Equal(c.Replica.ID, "b")
+}
+
 // TestLoadReturns checks that all work that was counted is uncounted.
 func TestLoadReturns(t *testing.T) {
 	is := is.New(t)
--- a/pkg/fpbalance/types.go
+++ b/pkg/fpbalance/types.go
@@ -14,12 +14,12 @@
 )
 
 const (
-	// ShortLateRank and LateRank are the priorities of work that is late already,
-	// with a short and with a long prompt to compute: it goes behind all work that
-	// can still be on time.
+	// ShortLateRank is the priority of work that is late already and has a short
+	// prompt to compute: it goes behind all work that can still be on time.
 	ShortLateRank = 8
-	LateRank      = 9
-	ranks         = LateRank + 1
+	// LateRank is that of late work with a long prompt.
+	LateRank = 9
+	ranks    = LateRank + 1
 )
 
 type (
--- a/pkg/fproute/circuit.go
+++ b/pkg/fproute/circuit.go
@@ -55,6 +55,16 @@
 	c.openTill = now.Add(c.openFor)
 }
 
+// Abandoned records that work ended without saying anything of the replica, as
+// when its caller leaves: another probe may follow.
+func (c *Circuit) Abandoned() { c.probing = false }
+
+// Down records proof that the replica is gone for now, which opens the circuit at once.
+func (c *Circuit) Down(now time.Time) {
+	c.failures = max(c.failures, circuitFailures-1)
+	c.Failed(now)
+}
+
 // Request counts a first attempt, which earns a share of a retry.
 func (b *RetryBudget) Request() { b.spent = max(b.spent-retryRatio, 0) }
 
