A host without a bound on keys waits in its watches

Cause, found on reading the change: the wait of a watch was a fourth of the revocation bound, which is 0 where keys are not strict, so that such a host would have called the store without a pause (the pace before had a default).

Change: the wait has a value of its own, 1.25 s, and is shorter where the bound asks for it. TestPace fails without (wait 0); TestReaders.

--- a/internal/fpgateway/news.go
+++ b/internal/fpgateway/news.go
@@ -41,8 +41,10 @@
 	gatherFew  = 500 * time.Millisecond
 	gatherMany = time.Second
 	manyHosts  = 16
-	// watchShare of the time in which a revoked key must be refused is what one
-	// watch may wait: two in a row must prove that no key was taken away.
+	// watchAlone is what the watch of such a host may wait, and watchShare the part of
+	// the time in which a revoked key must be refused: two watches in a row must
+	// prove that no key was taken away.
+	watchAlone = 1250 * time.Millisecond
 	watchShare = 4
 )
 
@@ -89,7 +91,10 @@
 
 // pace returns how often this host calls the store or asks another host.
 func (g *Gateway) pace() fpstore.Pace {
-	p := fpstore.Pace{Wait: g.settings().Fresh.Revoke / watchShare, Gather: gatherFew, Ask: askEvery, Backoff: backoffFirst}
+	p := fpstore.Pace{Wait: watchAlone, Gather: gatherFew, Ask: askEvery, Backoff: backoffFirst}
+	if revoke := g.settings().Fresh.Revoke; revoke > 0 {
+		p.Wait = min(p.Wait, revoke/watchShare)
+	}
 	s := g.state.Load()
 	if g.readsForOthers(s) {
 		p.Wait, p.Gather = min(p.Wait, watchShared), gatherShared
