--- a/cmd/fescuestandin/drive.go
+++ b/cmd/fescuestandin/drive.go
@@ -10,6 +10,7 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpload"
 	"github.com/fescuepoint/fescuepoint/internal/fpreport"
 	"github.com/fescuepoint/fescuepoint/internal/fpworkload"
+	"github.com/fescuepoint/fescuepoint/platform/fploss"
 )
 
 type (
@@ -28,6 +29,10 @@
 		Output   string        `help:"Form of the report." enum:"text,json" default:"text"`
 	}
 
+	lossCommand struct {
+		File string `arg:"" help:"Report that the bench wrote." type:"existingfile"`
+	}
+
 	reportCommand struct {
 		Folder string   `help:"Folder for the plots." default:"report"`
 		Seeds  []uint64 `help:"Seeds." default:"1,2"`
@@ -67,3 +72,17 @@
 	}
 	return fpreport.Write(os.Stdout, c.Folder, c.Seeds)
 }
+
+// Run prints where a day's worth was lost.
+func (c *lossCommand) Run() error {
+	f, err := os.Open(c.File)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	r, err := fploss.Read(f)
+	if err != nil {
+		return err
+	}
+	return r.Print(os.Stdout)
+}
--- a/cmd/fescuestandin/main.go
+++ b/cmd/fescuestandin/main.go
@@ -27,6 +27,7 @@
 		WeightStore weightStoreCommand `cmd:"" help:"The weight store."`
 		CacheStore  cacheStoreCommand  `cmd:"" help:"The store of exported cache blocks."`
 		Load        loadCommand        `cmd:"" help:"Drive a workload against entry hosts and report what callers saw."`
+		Loss        lossCommand        `cmd:"" help:"Tell by cause where a day on the users' bench lost its worth."`
 		Report      reportCommand      `cmd:"" help:"Play the placement experiment in virtual time; print tables and draw plots."`
 	}
 
