A request is kept from replaced weights while it could still wait there

Half of the orders had been lost, and a request that was sent on 10.9 s after newer weights were named waited 1.4 s at its engine and began on the older ones after 12.35 s, bound 12 s. The margin was one second, and the adapter chose it.

The host takes off the time that the request may wait before it begins, the caller's patience at most, and one second for news that came late.

TestOldWeights fails without (0, wanted 2).

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -29,6 +29,9 @@
 	// loadingFor is how long a replica that refuses work while newer weights are
 	// named is believed to be changing to them.
 	loadingFor = 700 * time.Millisecond
+	// weightsMargin is how much later than the operator's store a host may learn of
+	// newer weights: by a zone's reader, its pause and a question, or a restart.
+	weightsMargin = time.Second
 	// maxPlainBytes bounds an answer that is read whole before it is handed on.
 	maxPlainBytes = 8 << 20
 	// patienceFloor, patienceObjectives and patiencePauses are when callers give
@@ -118,12 +121,13 @@
 	}
 	if n := q.state.newest(q.caller.Model); n.version > 0 {
 		w.Newest, w.NamedFor = n.version, now-n.since
-		w.Oldest = q.state.oldest(q.caller.Model, q.gateway.settings().OldWeights, now)
 	}
 	if q.route.Kind == fpcatalog.Stream {
 		patience := max(patienceFloor, patienceObjectives*q.route.Objective, patiencePauses*q.route.Pause)
 		w.Left = min(w.Left, q.arrived+patience-now)
 	}
+	// It may wait at its replica for all the time that is left before it begins.
+	w.Oldest = q.state.oldest(q.caller.Model, q.gateway.settings().OldWeights, now+w.Left+weightsMargin)
 	return w
 }
 
--- a/internal/fpgateway/dispatch_test.go
+++ b/internal/fpgateway/dispatch_test.go
@@ -60,3 +60,29 @@
 	is.True(errors.Is(err, errBudget))
 	is.Equal(q.gateway.balancer.Work(c.Replica.ID, q.gateway.clock()), 0.0)
 }
+
+// TestOldWeights replays a slow change of weights: a request is kept from
+// replaced ones from when it could still wait there until they are barred.
+func TestOldWeights(t *testing.T) {
+	tests := map[string]struct {
+		named time.Duration
+		want  int64
+	}{
+		"time enough": {named: 8500 * time.Millisecond, want: 0},
+		"it may wait": {named: 9500 * time.Millisecond, want: 2},
+		"over":        {named: 13 * time.Second, want: 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			q := budgetRequest()
+			s := q.gateway.settings()
+			s.OldWeights = 12 * time.Second
+			q.gateway.current.Store(&s)
+			now := q.gateway.clock()
+			q.caller.Model, q.arrived, q.ends = "m", now, now+8*time.Second
+			q.route = &fpcatalog.Route{Name: "chat", Kind: fpcatalog.Stream, Objective: 500 * time.Millisecond, Pause: 200 * time.Millisecond}
+			q.state.weights = map[string][]namedWeights{"m": {{version: 2, since: now - tt.named}}}
+			is.New(t).Equal(q.want().Oldest, tt.want)
+		})
+	}
+}
