Bytes without end from an upstream cost bounded memory and time

Two more faults showed: a plain service's answer over 8 MB came to the caller cut at that length, as complete; and a replica whose answers begin well and break off each time was never avoided, since the header of an answer closed its circuit.

Change: fpconn reads at most 64 KB of a head; bodies are read into memory that is taken from a budget (an eighth of the host's, with 64 KB free for each request, so that short answers go on); what follows a rejection is dropped within 16 KB and 100 ms; a circuit closes by a complete answer or a stream's first event.

--- a/internal/fpconn/conn.go
+++ b/internal/fpconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"math"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -16,6 +17,8 @@
 	writeBufferBytes = 4 << 10
 )
 
+var errHeaderTooLong = errors.New("the header of the answer is too long")
+
 type (
 	// conn is one connection to an upstream, used by one request-response exchange at a time.
 	conn struct {
@@ -26,15 +29,32 @@
 		lastUsed           time.Duration
 		expiresAt          time.Duration
 		completedExchanges int
+		// readable is the number of bytes that may still be read from the connection.
+		readable int64
 	}
 )
 
 func newConn(c net.Conn, address string) *conn {
-	n := &conn{Conn: c, address: address}
-	n.reader = bufio.NewReaderSize(c, readBufferBytes)
+	n := &conn{Conn: c, address: address, readable: math.MaxInt64}
+	n.reader = bufio.NewReaderSize(n, readBufferBytes)
 	return n
 }
 
+// limitReads makes reads fail after n more bytes, besides those already in the reader's buffer.
+func (c *conn) limitReads(n int64) { c.readable = n }
+
+func (c *conn) unlimitReads() { c.readable = math.MaxInt64 }
+
+// Read reads into p, and fails when the limit of limitReads is reached.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.readable <= 0 {
+		return 0, errHeaderTooLong
+	}
+	n, err := c.Conn.Read(p[:min(int64(len(p)), c.readable)])
+	c.readable -= int64(n)
+	return n, err
+}
+
 // Write writes p and counts the bytes that the kernel accepted.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
--- a/internal/fpconn/conn_test.go
+++ b/internal/fpconn/conn_test.go
@@ -92,7 +92,7 @@
 		return "", false, err
 	}
 	defer res.Close()
-	data, err := ReadAll(res.Body, 1<<20)
+	data, err := ReadAll(res.Body, 1<<20, nil)
 	return string(data), res.NewConnection, err
 }
 
--- a/internal/fpconn/exchange.go
+++ b/internal/fpconn/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -24,6 +23,16 @@
 	maxResponsesPerCall = 3
 	// maxMismatchedBodyBytes bounds the body of a response to another request.
 	maxMismatchedBodyBytes = 1 << 20
+	// MaxHeaderBytes bounds the status line and header of one response to any client of this module.
+	MaxHeaderBytes = 64 << 10
+	// minReadBytes is the initial size of the buffer for a body.
+	minReadBytes = 1 << 10
+)
+
+var (
+	// ErrResponseTooLong means that a body is longer than the caller reads.
+	ErrResponseTooLong = errors.New("the answer is too long")
+	errNoMemory        = errors.New("the memory for long answers is used up")
 )
 
 type (
@@ -130,7 +139,9 @@
 // receiveResponse reads responses until one belongs to the call.
 func (r *Response) receiveResponse(call Call) error {
 	for range maxResponsesPerCall {
+		r.conn.limitReads(MaxHeaderBytes)
 		res, err := http.ReadResponse(r.conn.reader, &http.Request{Method: call.Method})
+		r.conn.unlimitReads()
 		if err != nil {
 			return err
 		}
@@ -209,16 +220,44 @@
 	return maxIdleTime
 }
 
-// ReadAll reads a body of at most limit bytes; a longer body is an error marked
-// ErrIncompleteResponse.
-func ReadAll(r io.Reader, limit int64) ([]byte, error) {
-	var b bytes.Buffer
-	n, err := b.ReadFrom(io.LimitReader(r, limit+1))
+// Discard reads the rest of the body and drops it. It returns an error, and the connection is not
+// reused, if the body is longer than limit bytes or takes longer than timeout.
+func (r *Response) Discard(limit int64, timeout time.Duration) error {
+	if err := r.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return errors.Wrap(err, "set read deadline")
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, limit+1))
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if n > limit {
-		return nil, errors.Mark(errors.New("the answer is too long"), ErrIncompleteResponse)
+		return ErrResponseTooLong
+	}
+	return errors.Wrap(r.conn.SetReadDeadline(time.Time{}), "clear read deadline")
+}
+
+// ReadAll reads a body of at most limit bytes into memory that it takes from m, which may be nil.
+// If the body is longer or no memory is left, the error is marked ErrIncompleteResponse.
+func ReadAll(r io.Reader, limit int64, m *Reservation) ([]byte, error) {
+	limited := io.LimitReader(r, limit+1)
+	var data []byte
+	for {
+		if len(data) == cap(data) {
+			grown := max(2*cap(data), minReadBytes)
+			if !m.Grow(int64(grown - cap(data))) {
+				return nil, errors.Mark(errNoMemory, ErrIncompleteResponse)
+			}
+			data = append(make([]byte, 0, grown), data...)
+		}
+		n, err := limited.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		switch {
+		case int64(len(data)) > limit:
+			return nil, errors.Mark(ErrResponseTooLong, ErrIncompleteResponse)
+		case errors.Is(err, io.EOF):
+			return data, nil
+		case err != nil:
+			return nil, err
+		}
 	}
-	return b.Bytes(), nil
 }
--- a/internal/fpfeed/service.go
+++ b/internal/fpfeed/service.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
+	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/internal/fpstore"
 )
 
@@ -69,7 +70,9 @@
 
 // NewClient returns a client with its own connection pool.
 func NewClient(clock fpclock.Clock) *Client {
-	t := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	t := &http.Transport{
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: fpconn.MaxHeaderBytes,
+	}
 	return &Client{httpClient: &http.Client{Transport: t}, clock: clock}
 }
 
--- a/internal/fpgateway/cluster_test.go
+++ b/internal/fpgateway/cluster_test.go
@@ -209,6 +209,12 @@
 func (tc *testCluster) sendRequest(route string, change func(*http.Request)) response {
 	tc.t.Helper()
 	tc.requestCount++
+	return tc.sendNumberedRequest(route, tc.requestCount, change)
+}
+
+// sendNumberedRequest is like sendRequest with a given number, and safe for concurrent use.
+func (tc *testCluster) sendNumberedRequest(route string, number int, changes ...func(*http.Request)) response {
+	tc.t.Helper()
 	method, body := http.MethodPost, "body"
 	if route == "read" {
 		method, body = http.MethodGet, ""
@@ -218,7 +224,7 @@
 		tc.t.Fatal(err)
 	}
 	req.Host = "a.example"
-	req.Header.Set("Attempt-Id", "id-"+strconv.Itoa(tc.requestCount))
+	req.Header.Set("Attempt-Id", "id-"+strconv.Itoa(number))
 	req.Header.Set("Authorization", "Token key")
 	req.Header.Set("Deadline-Ms", "2000")
 	if route == "chat" || route == "hint" {
@@ -226,8 +232,10 @@
 		req.Header.Set("Token-Usage", "1500,20")
 		req.Header.Set("Prompt-Prefix", "aa:1200,bb:300")
 	}
-	if change != nil {
-		change(req)
+	for _, change := range changes {
+		if change != nil {
+			change(req)
+		}
 	}
 	c := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	res, err := c.Do(req)
--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -35,6 +35,10 @@
 	weightsPropagationMargin = time.Second
 	// maxBufferedBytes bounds an answer that is read whole before it is forwarded.
 	maxBufferedBytes = 8 << 20
+	// maxNotRunBodyBytes and notRunBodyTimeout bound what is read of an answer that says that the
+	// request did not run; its body is not used.
+	maxNotRunBodyBytes = 16 << 10
+	notRunBodyTimeout  = 100 * time.Millisecond
 	// Callers give up on a silent stream after the longest of minSilenceTimeout,
 	// silenceTimeoutObjectives times the route's objective and silenceTimeoutEventGaps times its
 	// longest gap between events.
@@ -271,8 +275,11 @@
 func (q *request) handleNotRun(c fpbalance.Choice, a *fpconn.Response, r Reply) attemptResult {
 	g := q.gateway
 	q.appendTrail("%s %d not run", c.Replica.ID, a.Status)
-	if _, err := fpconn.ReadAll(a.Body, maxBufferedBytes); err != nil {
+	if err := a.Discard(maxNotRunBodyBytes, notRunBodyTimeout); err != nil {
 		q.appendTrail("%s body: %v", c.Replica.ID, err)
+		if errors.Is(err, fpconn.ErrResponseTooLong) {
+			g.recordFailure(c.Replica.ID)
+		}
 	}
 	now := g.clock()
 	newest := q.snapshot.newestWeights(q.caller.Model).version
@@ -337,6 +344,13 @@
 	g.balancer.RecordFailure(id, g.clock())
 }
 
+// recordSuccess records a complete answer of a replica, or the first event of a stream.
+func (g *Gateway) recordSuccess(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.RecordSuccess(id)
+}
+
 // markReplicaDown records that nothing listens at a replica's address.
 func (g *Gateway) markReplicaDown(id string) {
 	g.mu.Lock()
--- a/internal/fpgateway/events.go
+++ b/internal/fpgateway/events.go
@@ -17,6 +17,8 @@
 	eventsPollWait = 900 * time.Millisecond
 	// eventsCallTimeout bounds a poll, including the longest network path.
 	eventsCallTimeout = 2 * time.Second
+	// maxEventsBytes bounds the answer to a poll.
+	maxEventsBytes = 4 << 20
 	// eventsBatchPause is the pause between two polls, in which events accumulate.
 	eventsBatchPause = 150 * time.Millisecond
 	// eventsRetryPause is the pause after a failed poll.
@@ -123,7 +125,9 @@
 		return CacheEvents{}, err
 	}
 	defer a.Close()
-	body, err := fpconn.ReadAll(a.Body, maxBufferedBytes)
+	memory := g.answerMemory.NewReservation()
+	defer memory.Release()
+	body, err := fpconn.ReadAll(a.Body, maxEventsBytes, memory)
 	if err != nil {
 		return CacheEvents{}, err
 	}
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -26,6 +26,10 @@
 	// memoryLimitShare is the share of the host's memory that is set as the garbage collector's
 	// soft limit.
 	memoryLimitShare = 0.7
+	// answerMemoryShare is the share of the host's memory that long answers may hold at one time,
+	// and minAnswerMemoryBytes the least that they may hold.
+	answerMemoryShare    = 0.125
+	minAnswerMemoryBytes = 8 << 20
 	// snapshotInterval is the interval at which the snapshot is rebuilt when the store reports
 	// no change.
 	snapshotInterval = 500 * time.Millisecond
@@ -60,6 +64,8 @@
 		logLimiter     *lineLimiter
 		metrics        *fpmetric.Set
 		pool           *fpconn.Pool
+		// answerMemory bounds the memory of the upstreams' long answers.
+		answerMemory *fpconn.Budget
 
 		controlQueue    chan func(*controlState)
 		snapshot        atomic.Pointer[snapshot]
@@ -101,6 +107,7 @@
 		retryWindows: make(map[string]*fplimit.RetryWindow),
 	}
 	g.pool = fpconn.NewPool(p.Clock, func(string) { g.metrics.AddToCounter("upstream_connections", 1) })
+	g.answerMemory = fpconn.NewBudget(max(int64(float64(s.MemoryBytes)*answerMemoryShare), minAnswerMemoryBytes))
 	g.peerClient, g.storeReaders = fpfeed.NewClient(p.Clock), &storeReaders{skippedUntil: make(map[string]time.Duration)}
 	g.activeSettings.Store(&s)
 	g.snapshot.Store(&snapshot{})
--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
 	"github.com/fescuepoint/fescuepoint/pkg/fpcatalog"
 	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
@@ -56,8 +57,10 @@
 		stream        streamState
 		// fallback is a replica's own error answer, used if no other answer follows.
 		fallback *bufferedAnswer
-		status   int
-		reason   string
+		// memory is what the answers that are held for the request take.
+		memory *fpconn.Reservation
+		status int
+		reason string
 		// firstByteDelay is the time from the request's arrival to the answer's first byte.
 		firstByteDelay time.Duration
 	}
@@ -74,7 +77,8 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.runningRequests.Add(1)
 	defer g.runningRequests.Add(-1)
-	q := &request{gateway: g, writer: w, http: r, snapshot: g.snapshot.Load(), arrivedAt: g.clock()}
+	q := &request{gateway: g, writer: w, http: r, snapshot: g.snapshot.Load(), arrivedAt: g.clock(), memory: g.answerMemory.NewReservation()}
+	defer q.memory.Release()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/fpgateway/relay.go
+++ b/internal/fpgateway/relay.go
@@ -47,7 +47,7 @@
 
 // relayBuffered reads an answer whole and forwards it.
 func (q *request) relayBuffered(ctx context.Context, c fpbalance.Choice, a *fpconn.Response, r Reply) attemptResult {
-	body, err := fpconn.ReadAll(a.Body, maxBufferedBytes)
+	body, err := fpconn.ReadAll(a.Body, maxBufferedBytes, q.memory)
 	successful := a.Status >= 200 && a.Status < 300
 	if err == nil && successful && (r.Signature == "" || r.Encoded) {
 		err = errForeignAnswer
@@ -62,6 +62,9 @@
 		return q.handleIncompleteAnswer(ctx, c, err)
 	}
 	q.appendTrail("%s %d", c.Replica.ID, a.Status)
+	if a.Status < 500 {
+		q.gateway.recordSuccess(c.Replica.ID)
+	}
 	answer := &bufferedAnswer{status: a.Status, header: a.Header, body: body}
 	if a.Status >= 500 && !impliesNotRun(a.Status) && q.mayRetryFailure() {
 		q.fallback = answer
@@ -119,8 +122,10 @@
 		return q.handleIncompleteAnswer(ctx, c, errForeignAnswer)
 	}
 	reader := bufio.NewReader(a.Body)
+	memory := q.gateway.answerMemory.NewReservation()
+	defer memory.Release()
 	for {
-		event, err := readEvent(reader)
+		event, err := readEvent(reader, memory)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			break
 		}
@@ -139,12 +144,14 @@
 		if onFirstByte != nil {
 			onFirstByte()
 			onFirstByte = nil
+			q.gateway.recordSuccess(c.Replica.ID)
 		}
 		if err := q.writeEvent(event); err != nil {
 			q.appendTrail("caller: %v", err)
 			q.reason = "the caller left"
 			return requestDone
 		}
+		memory.Release()
 	}
 	if !q.stream.headerSent {
 		return q.handleIncompleteAnswer(ctx, c, errStreamTruncated)
@@ -164,12 +171,15 @@
 	return http.NewResponseController(q.writer).Flush()
 }
 
-// readEvent reads up to and including the empty line that ends an event. At
-// the end of the stream it returns io.EOF with no bytes.
-func readEvent(r *bufio.Reader) ([]byte, error) {
+// readEvent reads up to and including the empty line that ends an event, into memory that it takes
+// from m. At the end of the stream it returns io.EOF with no bytes.
+func readEvent(r *bufio.Reader, m *fpconn.Reservation) ([]byte, error) {
 	var event []byte
 	for {
 		line, err := r.ReadSlice('\n')
+		if !m.Grow(int64(len(line))) {
+			return event, errEventTooLong
+		}
 		event = append(event, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
--- a/internal/fpgateway/rollout.go
+++ b/internal/fpgateway/rollout.go
@@ -29,6 +29,8 @@
 	acquireRetryPause = time.Second
 	// controlCallTimeout bounds a report or an order; the longest round trip takes 60 ms.
 	controlCallTimeout = 900 * time.Millisecond
+	// maxControlAnswerBytes bounds the answer to a report or an order.
+	maxControlAnswerBytes = 256 << 10
 	// weightsPollInterval is the interval at which a loading replica is polled for its status.
 	weightsPollInterval = 100 * time.Millisecond
 	// minWeightsLoadTime is the least time that a replica takes to load weights; the platform's
@@ -356,6 +358,6 @@
 		return 0, nil, err
 	}
 	defer a.Close()
-	body, err := fpconn.ReadAll(a.Body, maxBufferedBytes)
+	body, err := fpconn.ReadAll(a.Body, maxControlAnswerBytes, nil)
 	return a.Status, body, err
 }
--- a/internal/fphost/serve.go
+++ b/internal/fphost/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/internal/fpsetting"
 )
 
@@ -64,7 +65,7 @@
 
 // peerTransport returns the transport and the URL scheme for calls to other hosts.
 func peerTransport(p fpsetting.Peers) (http.RoundTripper, string, error) {
-	t := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout}
+	t := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: fpconn.MaxHeaderBytes}
 	if p.CertificateFile == "" {
 		return t, "http", nil
 	}
--- a/internal/fppeer/client.go
+++ b/internal/fppeer/client.go
@@ -50,7 +50,7 @@
 }
 
 func (c *Client) peerClient(address string) fppeerv1connect.PeerClient {
-	return fppeerv1connect.NewPeerClient(c.http, c.scheme+"://"+address, connect.WithInterceptors(c.addSecret()))
+	return fppeerv1connect.NewPeerClient(c.http, c.scheme+"://"+address, connect.WithInterceptors(c.addSecret()), connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 // addSecret returns an interceptor that sends the secret and marks errors with ErrUnreachable.
--- a/internal/fppeer/server.go
+++ b/internal/fppeer/server.go
@@ -21,6 +21,8 @@
 const (
 	// maxRequestedWait bounds the wait that a calling host may request.
 	maxRequestedWait = 30 * time.Second
+	// maxMessageBytes bounds a message between hosts; the largest is a configuration with its patches.
+	maxMessageBytes = 16 << 20
 )
 
 var errWrongSecret = errors.New("the secret is not that of this fleet")
@@ -52,7 +54,7 @@
 		}
 	})
 	mux := http.NewServeMux()
-	mux.Handle(fppeerv1connect.NewPeerHandler(&server{backend: b}, connect.WithInterceptors(checkSecret)))
+	mux.Handle(fppeerv1connect.NewPeerHandler(&server{backend: b}, connect.WithInterceptors(checkSecret), connect.WithReadMaxBytes(maxMessageBytes)))
 	return mux
 }
 
--- a/internal/fpplatform/client.go
+++ b/internal/fpplatform/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/internal/fpstore"
 )
 
@@ -37,7 +38,7 @@
 // A connection carries one call at a time and is closed after a failure, so that
 // an unresponsive connection costs only one timeout.
 func NewClient(address string) *Client {
-	t := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}
+	t := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: fpconn.MaxHeaderBytes}
 	return &Client{baseURL: "http://" + address, httpClient: &http.Client{Transport: t}}
 }
 
@@ -89,7 +90,7 @@
 	}
 	defer func() { _ = body.Close() }()
 	created := false
-	dec := json.NewDecoder(body)
+	dec := json.NewDecoder(io.LimitReader(body, maxResponseBytes))
 	for {
 		var msg WatchResponse
 		if err := dec.Decode(&msg); err != nil {
--- a/internal/fpupstream/call.go
+++ b/internal/fpupstream/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -10,6 +9,7 @@
 
 	"github.com/fescuepoint/fescuepoint/internal/fpchat"
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
+	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 )
 
 const (
@@ -46,7 +46,7 @@
 	defer t.Stop()
 	select {
 	case r := <-direct:
-		if r.err == nil || errors.Is(r.err, ErrNotRun) {
+		if isFinal(r.err) {
 			return r.response, r.err
 		}
 		return c.awaitResponse(ctx, a, r.err, nil)
@@ -66,6 +66,12 @@
 	return callResult{response: response, err: err}
 }
 
+// isFinal reports whether no other answer can follow a result: polling for a response that is too
+// long to be read would only transfer it again.
+func isFinal(err error) bool {
+	return err == nil || errors.IsAny(err, ErrNotRun, fpconn.ErrResponseTooLong)
+}
+
 // awaitResponse polls until a response arrives, over the polling or the direct
 // connection, or until the service no longer knows the attempt.
 func (c *Client) awaitResponse(ctx context.Context, a Attempt, cause error, direct <-chan callResult) (Response, error) {
@@ -74,7 +80,7 @@
 	for {
 		select {
 		case r := <-direct:
-			if r.err == nil || errors.Is(r.err, ErrNotRun) {
+			if isFinal(r.err) {
 				return r.response, r.err
 			}
 			direct = nil
@@ -88,8 +94,8 @@
 	for failures := 0; failures < maxPollFailures && ctx.Err() == nil; {
 		response, err := c.pollOnce(ctx, a)
 		switch {
-		case err == nil:
-			return callResult{response: response}
+		case isFinal(err):
+			return callResult{response: response, err: err}
 		case errors.Is(err, ErrAttemptUnknown):
 			return callResult{err: errors.Mark(cause, ErrAttemptUnknown)}
 		case errors.Is(err, ErrSilent) && c.isReachable(ctx, a.Address):
@@ -136,7 +142,7 @@
 	case got != attemptID:
 		return Response{}, errors.Wrapf(ErrMismatched, "asked for %q, got %q", attemptID, got)
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, MaxResponseBytes))
+	body, err := fpconn.ReadAll(res.Body, MaxResponseBytes, nil)
 	if err != nil {
 		return Response{}, classifyError(ctx, err)
 	}
--- a/internal/fpupstream/client.go
+++ b/internal/fpupstream/client.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpchat"
+	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 )
 
 const (
@@ -79,6 +80,8 @@
 			MaxIdleConnsPerHost: 64,
 			IdleConnTimeout:     20 * time.Second,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: fpconn.MaxHeaderBytes,
 		},
 		CheckRedirect: noRedirect,
 	}
@@ -104,6 +107,8 @@
 		DialContext:        func(context.Context, string, string) (net.Conn, error) { return conn, nil },
 		DisableKeepAlives:  true,
 		DisableCompression: true,
+
+		MaxResponseHeaderBytes: fpconn.MaxHeaderBytes,
 	}
 	return &http.Client{Transport: t, CheckRedirect: noRedirect}
 }
--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -325,7 +325,6 @@
 func (b *Balancer) RecordFirstByte(c Choice, waited time.Duration, now time.Duration) {
 	l := b.loadOf(c.Replica.ID)
 	l.removeUnstarted(c)
-	l.circuit = fproute.CircuitBreaker{}
 	if !c.Replica.Engine {
 		l.updateExcessDelay((waited - c.PredictedWait).Seconds(), now)
 	} else if c.Rank < ShortLateRank {
@@ -338,12 +337,16 @@
 func (b *Balancer) RecordEnd(c Choice, started bool) {
 	l := b.loadOf(c.Replica.ID)
 	l.ownRequests = max(l.ownRequests-1, 0)
+	l.circuit.RecordAbandoned()
 	if !started {
 		l.removeUnstarted(c)
-		l.circuit.RecordAbandoned()
 	}
 }
 
+// RecordSuccess records a complete answer, or the first event of a stream. The header of an answer
+// is none: its body may be invalid each time.
+func (b *Balancer) RecordSuccess(id string) { b.loadOf(id).circuit = fproute.CircuitBreaker{} }
+
 // RecordFailure records that a request to a replica failed or that the replica could not be
 // reached.
 func (b *Balancer) RecordFailure(id string, now time.Duration) {
--- a/pkg/fpbalance/balancer_test.go
+++ b/pkg/fpbalance/balancer_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 )
 
@@ -228,6 +229,42 @@
 	is.Equal(c.Replica.ID, "b")
 }
 
+// TestInvalidBodiesOpenCircuit checks that a replica whose answers begin well and break off, each
+// time, is avoided like one that gives none, and that a complete answer makes it usable again.
+func TestInvalidBodiesOpenCircuit(t *testing.T) {
+	is := is.New(t)
+	b := New(Location{Zone: "z1", Region: "r1"})
+	replicas := []Replica{{ID: "s", Zone: "z1", Region: "r1", Slots: 8}}
+	q := Request{TimeToDeadline: time.Second}
+	now := testStart
+	for range 3 {
+		c, err := b.Choose(replicas, q, Link{}, now)
+		is.NoErr(err)
+		b.RecordDispatch(c, q, now)
+		b.RecordFirstByte(c, time.Millisecond, now)
+		b.RecordFailure(c.Replica.ID, now)
+		b.RecordEnd(c, true)
+	}
+	_, err := b.Choose(replicas, q, Link{}, now)
+	is.True(errors.Is(err, ErrNoReplica))
+	now += 3 * time.Second
+	probe, err := b.Choose(replicas, q, Link{}, now)
+	is.NoErr(err)
+	b.RecordDispatch(probe, q, now)
+	_, err = b.Choose(replicas, q, Link{}, now)
+	is.True(errors.Is(err, ErrNoReplica))
+	// A probe without a result, as when its caller disconnects, makes way for another.
+	b.RecordFirstByte(probe, time.Millisecond, now)
+	b.RecordEnd(probe, true)
+	probe, err = b.Choose(replicas, q, Link{}, now)
+	is.NoErr(err)
+	b.RecordDispatch(probe, q, now)
+	b.RecordSuccess(probe.Replica.ID)
+	b.RecordEnd(probe, true)
+	_, err = b.Choose(replicas, q, Link{}, now)
+	is.NoErr(err)
+}
+
 // TestLoadCountersReturnToZero checks that the load counters are zero after all requests have
 // ended.
 func TestLoadCountersReturnToZero(t *testing.T) {
