The rollout follows the load time that it sees, not two sites' 900 ms

Change: package fpestimate, with an estimate of a positive quantity by the median of its samples from a wide prior; the holder of the order lease learns the time from an order to the report of its weights with it, and polls from 0.6 of it on. The constants 900 ms, 1.1 and 1.8 s of the known sites are gone.

--- a/internal/fpgateway/cluster_test.go
+++ b/internal/fpgateway/cluster_test.go
@@ -141,6 +141,12 @@
 	return tc
 }
 
+// chooseAddresses picks free ports for the host anew, since replicas started later may have taken the
+// former ones.
+func (tc *testCluster) chooseAddresses() {
+	tc.hostSettings.CallersAddress, tc.hostSettings.ReadyAddress, tc.hostSettings.MetricsAddress = freeAddress(tc.t), freeAddress(tc.t), freeAddress(tc.t)
+}
+
 func (tc *testCluster) startHost() {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := fpgateway.New(tc.hostSettings, fpgateway.Dependencies{
--- a/internal/fpgateway/endless_test.go
+++ b/internal/fpgateway/endless_test.go
@@ -40,8 +40,7 @@
 				r.SetDefaultBehaviour(b)
 				tc.store.Put("servers/"+r.ID, r.Registration("ready"))
 			}
-			// The replicas may have taken the ports that were free before.
-			tc.hostSettings.CallersAddress, tc.hostSettings.ReadyAddress, tc.hostSettings.MetricsAddress = freeAddress(t), freeAddress(t), freeAddress(t)
+			tc.chooseAddresses()
 			tc.store.Put("op/config", configDocument(1))
 			tc.startHost()
 			tc.waitFor(tc.isReady, "ready")
--- a/internal/fpgateway/gateway_test.go
+++ b/internal/fpgateway/gateway_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -285,6 +287,38 @@
 	is.Equal(holder, "h1")
 }
 
+// TestRolloutFollowsLoadTime checks that the rollout is as fast as the loads, whatever they take:
+// twice the least time for two at once, and a second to begin.
+func TestRolloutFollowsLoadTime(t *testing.T) {
+	const engineCount, atOnce = 10, 2
+	for name, load := range map[string]time.Duration{"short loads": 50 * time.Millisecond, "long loads": 400 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tc := prepareTestCluster(t)
+			for i := len(tc.engines); i < engineCount; i++ {
+				r := fpfake.NewReplica("e"+strconv.Itoa(i+1), "llm", "z1", "m")
+				t.Cleanup(r.Close)
+				tc.engines = append(tc.engines, r)
+				tc.store.Put("servers/"+r.ID, r.Registration("ready"))
+			}
+			for _, e := range tc.engines {
+				e.WeightsLoadTime = load
+			}
+			tc.chooseAddresses()
+			tc.store.Put("op/config", configDocument(1))
+			tc.startHost()
+			tc.waitFor(tc.isReady, "ready")
+			tc.waitFor(func() bool { _, ok := tc.store.GetString("fescuepoint/orders"); return ok }, "lease held")
+			named := fpclock.SinceBoot()
+			tc.store.Put("op/version/m", map[string]any{"model": "m", "version": 2})
+			tc.waitFor(func() bool {
+				return !slices.ContainsFunc(tc.engines, func(e *fpfake.Replica) bool { return e.WeightsVersion() != 2 })
+			}, "weights in place")
+			is.True(fpclock.SinceBoot()-named < time.Second+2*load*engineCount/atOnce)
+		})
+	}
+}
+
 // TestGracefulStop checks that a planned stop lets running requests end, reports the host as not
 // ready, and gives up the order lease.
 func TestGracefulStop(t *testing.T) {
--- a/internal/fpgateway/rollout.go
+++ b/internal/fpgateway/rollout.go
@@ -14,6 +14,7 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/internal/fpstore"
+	"github.com/fescuepoint/fescuepoint/pkg/fpestimate"
 	"github.com/fescuepoint/fescuepoint/pkg/fpfleet"
 	"github.com/fescuepoint/fescuepoint/pkg/fporder"
 )
@@ -31,13 +32,16 @@
 	controlCallTimeout = 900 * time.Millisecond
 	// maxControlAnswerBytes bounds the answer to a report or an order.
 	maxControlAnswerBytes = 256 << 10
-	// weightsPollInterval is the interval at which a loading replica is polled for its status.
-	weightsPollInterval = 100 * time.Millisecond
-	// minWeightsLoadTime is the least time that a replica takes to load weights; the platform's
-	// figures are 1.1 and 1.8 s.
-	minWeightsLoadTime = 900 * time.Millisecond
-	// maxWeightsLoadTime bounds the time that a replica may load weights; with many loading at
-	// once it takes longer than the platform's figure of 1.8 s.
+	// weightsLoadPrior is the assumed time from an order to a report of the new weights, until loads
+	// have been seen.
+	weightsLoadPrior = 400 * time.Millisecond
+	// A loading replica is polled for its status from firstPollShare of the usual load time on, at
+	// pollShare of it, but not more often than each minWeightsPollInterval.
+	firstPollShare         = 0.6
+	pollShare              = 0.0625
+	minWeightsPollInterval = 50 * time.Millisecond
+	// maxWeightsLoadTime bounds the time that a replica may load weights; it takes longer with many
+	// loading at once.
 	maxWeightsLoadTime = 8 * time.Second
 	// orderRetryInterval is the time after which an order without effect is repeated.
 	orderRetryInterval = time.Second
@@ -60,7 +64,9 @@
 		// retryAt is the earliest time of the next attempt to acquire the lease.
 		retryAt         time.Duration
 		loadingReplicas map[string]bool
-		updates         sync.WaitGroup
+		// loadSeconds is the time from an order to a report of the new weights.
+		loadSeconds fpestimate.Quantity
+		updates     sync.WaitGroup
 	}
 
 	// weightsUpdate is the update of one replica to newer weights.
@@ -265,7 +271,7 @@
 		r.mu.Unlock()
 	}()
 	started := g.clock()
-	lastOrder := -orderRetryInterval
+	lastOrder, orders := -orderRetryInterval, 0
 	for g.clock()-started < maxWeightsLoadTime {
 		report, err := r.fetchReport(ctx, u)
 		now := g.clock()
@@ -276,19 +282,23 @@
 			return
 		case report.Versions[u.model] >= u.version:
 			g.announceWeights(id, report.Versions[u.model], 0)
-			g.log("weights loaded", "Replica", id, "WeightsVersion", report.Versions[u.model], "Took", (now - started).String())
+			if orders == 1 {
+				r.recordLoadTime(id, now-lastOrder)
+			}
+			g.log("weights loaded", "Replica", id, "WeightsVersion", report.Versions[u.model], "Took", (now - started).String(), "Usual", r.loadTime().String())
 			return
 		case report.Busy:
-			g.announceWeights(id, report.Versions[u.model], weightsPollInterval+controlCallTimeout)
+			g.announceWeights(id, report.Versions[u.model], r.pollInterval()+controlCallTimeout)
 		case now-lastOrder >= orderRetryInterval:
 			lastOrder = now
+			orders++
 			if !r.sendOrder(ctx, u, report) {
 				return
 			}
 		}
-		pause := weightsPollInterval
+		pause := r.pollInterval()
 		if lastOrder == now {
-			pause = minWeightsLoadTime
+			pause = time.Duration(firstPollShare * float64(r.loadTime()))
 		}
 		if !fpclock.Sleep(ctx, pause) {
 			return
@@ -296,6 +306,28 @@
 	}
 }
 
+// loadTime returns the usual time from an order to a report of the new weights.
+func (r *rollout) loadTime() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Duration(r.loadSeconds.Value(weightsLoadPrior.Seconds()) * float64(time.Second))
+}
+
+func (r *rollout) pollInterval() time.Duration {
+	return max(minWeightsPollInterval, time.Duration(pollShare*float64(r.loadTime())))
+}
+
+// recordLoadTime records the time that a replica took to load weights after a single order.
+func (r *rollout) recordLoadTime(id string, took time.Duration) {
+	r.mu.Lock()
+	next, err := r.loadSeconds.WithSample(took.Seconds(), weightsLoadPrior.Seconds())
+	r.loadSeconds = next
+	r.mu.Unlock()
+	if err != nil {
+		r.gateway.log("load time not used", "Replica", id, "Took", took.String(), "Error", err.Error())
+	}
+}
+
 func (r *rollout) fetchReport(ctx context.Context, u weightsUpdate) (Report, error) {
 	g := r.gateway
 	status, body, err := g.callReplica(ctx, g.dialect.ReportCall(u.replica.Address, u.replica.ID))
@@ -321,7 +353,7 @@
 		Replica: id, Model: u.model, Version: u.version, Mode: KeepRuns,
 		Holder: g.settings().Host, FencingToken: lease.FencingToken, OrdersAccepted: report.OrdersAccepted,
 	}
-	g.announceWeights(id, report.Versions[u.model], minWeightsLoadTime+controlCallTimeout)
+	g.announceWeights(id, report.Versions[u.model], r.loadTime()+controlCallTimeout)
 	call, err := g.dialect.OrderCall(u.replica.Address, o)
 	if err != nil {
 		g.log("order not sent", "Replica", id, "Error", err.Error())
