A cached part implies the short parts before it

Change: a part too short to be told counts as cached where a later part of the prompt is. A long one does not: part IDs may stand under several parents.

--- a/pkg/fpbalance/directory.go
+++ b/pkg/fpbalance/directory.go
@@ -6,6 +6,10 @@
 	// entryTTL is how long a part is believed to be cached without an update, as the event of its
 	// eviction may have been lost.
 	entryTTL = 25 * time.Second
+	// impliedPartTokens is the number of tokens below which a part counts as cached where a later
+	// part of the prompt is: hosts don't tell each other of short parts, and a replica caches a part
+	// only after those before it.
+	impliedPartTokens = 1024
 	// maxPartsPerReplica limits the memory that a replica's entries take.
 	maxPartsPerReplica = 20_000
 )
@@ -111,15 +115,20 @@
 	if c == nil {
 		return 0
 	}
-	sum := 0
+	sum, implied := 0, 0
 	for _, p := range parts {
 		e, ok := c.entries[partKey{salt: salt, id: p.ID}]
-		if !ok || now-e.recordedAt > entryTTL || confirmedOnly && !e.confirmed {
-			break
-		}
-		sum += min(e.tokens, p.Tokens)
-		if e.tokens < p.Tokens {
-			break
+		switch {
+		case ok && now-e.recordedAt <= entryTTL && (e.confirmed || !confirmedOnly):
+			sum += implied + min(e.tokens, p.Tokens)
+			implied = 0
+			if e.tokens < p.Tokens {
+				return sum
+			}
+		case p.Tokens < impliedPartTokens:
+			implied += p.Tokens
+		default:
+			return sum
 		}
 	}
 	return sum
