Rates, service times and round trips are learnt, not those of two sites

Change: fpbalance learns an engine's rate and fixed time (from answers that found little load, one estimate a service), the time of plain requests and the round trip of each zone (from opened connections) with fpestimate; thresholds in tokens follow from times. A replica's queue keeps a drain ratio of its own, relative to the engine's rate. The figures stand in the request's log line and on the metrics address; refused samples are counted by reason.

--- a/internal/fpconn/conn.go
+++ b/internal/fpconn/conn.go
@@ -29,6 +29,7 @@
 		lastUsed           time.Duration
 		expiresAt          time.Duration
 		completedExchanges int
+		connectTime        time.Duration
 		// readable is the number of bytes that may still be read from the connection.
 		readable int64
 	}
--- a/internal/fpconn/exchange.go
+++ b/internal/fpconn/exchange.go
@@ -58,8 +58,10 @@
 		Body   io.Reader
 		// Length is the body's length, or -1 when there is no Content-Length.
 		Length int64
-		// NewConnection reports whether the connection was opened for this call.
+		// NewConnection reports whether the connection was opened for this call, and ConnectTime is
+		// how long that took.
 		NewConnection bool
+		ConnectTime   time.Duration
 
 		pool          *Pool
 		conn          *conn
@@ -90,6 +92,9 @@
 	}
 	writtenBefore := c.bytesWritten.Load()
 	r := &Response{pool: p, conn: c, NewConnection: c.completedExchanges == 0}
+	if r.NewConnection {
+		r.ConnectTime = c.connectTime
+	}
 	r.detachContext = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := r.sendRequest(call); err != nil {
 		r.closeConn()
--- a/internal/fpconn/pool.go
+++ b/internal/fpconn/pool.go
@@ -79,6 +79,7 @@
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
+	began := p.clock()
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
@@ -87,7 +88,9 @@
 	if p.onOpen != nil {
 		p.onOpen(address)
 	}
-	return newConn(c, address), nil
+	n := newConn(c, address)
+	n.connectTime = p.clock() - began
+	return n, nil
 }
 
 // releaseConn keeps a connection for at most keepFor, or closes it when the upstream has enough
--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -199,6 +199,9 @@
 		return q.handleNoAnswer(ctx, c, err)
 	}
 	defer a.Close()
+	if a.NewConnection {
+		g.recordRoundTrip(c.Replica, a.ConnectTime)
+	}
 	q.sends++
 	reply := g.dialect.DecodeReply(a.Status, a.Header)
 	q.recordReply(c, reply)
@@ -344,6 +347,13 @@
 	g.balancer.RecordFailure(id, g.clock())
 }
 
+// recordRoundTrip records the time in which a connection to a replica was opened.
+func (g *Gateway) recordRoundTrip(r fpbalance.Replica, took time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.RecordRoundTrip(r, took.Seconds())
+}
+
 // recordSuccess records a complete answer of a replica, or the first event of a stream.
 func (g *Gateway) recordSuccess(id string) {
 	g.mu.Lock()
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -186,6 +186,7 @@
 		case <-t.C:
 			g.pool.CloseExpired()
 			g.updateDroppedMetric()
+			g.updateFigureMetrics()
 		case <-ctx.Done():
 			return nil
 		}
--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -222,6 +223,9 @@
 	h.Set("Retry-After", strconv.FormatFloat(max(d, minRetryAfter).Seconds(), 'f', 3, 64))
 }
 
+// roundSeconds rounds seconds to microseconds.
+func roundSeconds(s float64) float64 { return math.Round(s*1e6) / 1e6 }
+
 // recordOutcome logs the request and updates its metrics.
 func (q *request) recordOutcome() {
 	g := q.gateway
@@ -258,5 +262,6 @@
 		"Reason", q.reason, "Took", latency.String(), "First", q.firstByteDelay.String(), "Left", remaining.String(),
 		"ConfigVersion", version, "ProofAge", g.formatProofAge(now), "Replica", q.choice.Replica.ID,
 		"WeightsVersion", q.choice.Replica.Version, "Predicted", q.choice.PredictedWait.String(),
-		"Rank", q.choice.Rank, "Source", q.choice.SourceAddress, "Hit", q.choice.HitTokens, "Copied", q.choice.CopiedTokens, "Miss", q.choice.MissTokens, "Trail", fmt.Sprint(q.trail))
+		"Rank", q.choice.Rank, "Source", q.choice.SourceAddress, "Hit", q.choice.HitTokens, "Copied", q.choice.CopiedTokens, "Miss", q.choice.MissTokens,
+		"TokensPerSecond", int(q.choice.TokensPerSecond), "DrainTokensPerSecond", int(q.choice.DrainTokensPerSecond), "FixedSeconds", roundSeconds(q.choice.FixedSeconds), "RoundTripSeconds", roundSeconds(q.choice.RoundTripSeconds), "Trail", fmt.Sprint(q.trail))
 }
--- a/internal/fpgateway/log.go
+++ b/internal/fpgateway/log.go
@@ -1,6 +1,7 @@
 package fpgateway
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -70,6 +71,22 @@
 	g.metrics.SetGauge("log_lines_dropped", float64(g.logQueue.Dropped()))
 }
 
+// updateFigureMetrics updates the metrics of the learnt figures.
+func (g *Gateway) updateFigureMetrics() {
+	g.mu.Lock()
+	figures, refused := g.balancer.ServiceFigures(), g.balancer.RefusedSamples()
+	g.mu.Unlock()
+	for service, f := range figures {
+		g.metrics.SetGauge(fmt.Sprintf("estimated_tokens_per_second{service=%q}", service), f.TokensPerSecond)
+		g.metrics.SetGauge(fmt.Sprintf("estimated_fixed_seconds{service=%q}", service), f.FixedSeconds)
+		g.metrics.SetGauge(fmt.Sprintf("estimated_plain_seconds{service=%q}", service), f.PlainSeconds)
+		g.metrics.SetGauge(fmt.Sprintf("estimate_samples{service=%q}", service), float64(f.Samples))
+	}
+	for reason, n := range refused {
+		g.metrics.SetGauge(fmt.Sprintf("estimate_samples_refused{reason=%q}", reason), float64(n))
+	}
+}
+
 // forgetRestartedReplica drops the balancer's state and the kept connections of an earlier start
 // of a replica.
 func (g *Gateway) forgetRestartedReplica(r fpfleet.Replica) {
--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -6,24 +6,14 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuepoint/fescuepoint/pkg/fpestimate"
 	"github.com/fescuepoint/fescuepoint/pkg/fproute"
 )
 
 const (
-	// prefillTokensPerSecond is the number of prompt tokens that an engine computes a second: chunks
-	// of 1,024 at 112 tokens a millisecond, the lower of the two rates of the engines in the known
-	// deployments, with 3.4 ms for a step and the attention between pairs of tokens.
-	prefillTokensPerSecond = 64_000
-	// secondsPerRunningRequest is the wait that each request at an engine adds to a new one: a step
-	// of 3.4 ms on the engines in the known deployments and a share of the adjacent steps.
+	// secondsPerRunningRequest is the wait that each request at an engine adds to a new one, whose
+	// first token shares a step with its tokens.
 	secondsPerRunningRequest = 0.006
-	// plainRequestSeconds is the service time of a plain request, which is 15 to 30 ms in the known
-	// deployments.
-	plainRequestSeconds = 0.025
-	// Network round trips by distance in the known deployments.
-	sameZoneRoundTripSeconds    = 0.0005
-	sameRegionRoundTripSeconds  = 0.004
-	crossRegionRoundTripSeconds = 0.062
 	// crossRegionTransferCostSeconds is the cost of a request's bytes to another region, on top of
 	// their time.
 	crossRegionTransferCostSeconds = 0.02
@@ -48,12 +38,12 @@
 	maxTransferSeconds = 0.6
 	// transferCostWeight weighs the time of a transfer, which occupies a link but no engine.
 	transferCostWeight = 0.2
-	// longPromptTokens is the number of tokens to compute above which a request is ranked as long. It
-	// lies above the unshared part of a long prompt in the known deployments and below such a prompt
-	// with its shared part (3,720 and 13,300 tokens on average).
-	longPromptTokens = 10_000
-	// minTransferTokens is the least number of cached tokens that is worth a transfer.
-	minTransferTokens = 1024
+	// longPrefillSeconds is the computing time above which a request is ranked as long.
+	longPrefillSeconds = 0.15
+	// minTransferSeconds is the least computing time of tokens that are worth a transfer, and
+	// minRecordSeconds that of a part that is worth an entry in the directory.
+	minTransferSeconds = 0.01
+	minRecordSeconds   = 0.001
 )
 
 type (
@@ -63,12 +53,19 @@
 		location       Location
 		cacheDirectory *CacheDirectory
 		loads          map[string]*replicaLoad
+		services       map[string]*figures
+		// roundTrips holds the network round trips by availability zone.
+		roundTrips     map[string]fpestimate.Quantity
+		refusedSamples map[string]int
 	}
 )
 
 // New returns the balancer of a host at a location.
 func New(location Location) *Balancer {
-	return &Balancer{location: location, cacheDirectory: NewCacheDirectory(), loads: make(map[string]*replicaLoad)}
+	return &Balancer{
+		location: location, cacheDirectory: NewCacheDirectory(), loads: make(map[string]*replicaLoad),
+		services: make(map[string]*figures), roundTrips: make(map[string]fpestimate.Quantity), refusedSamples: make(map[string]int),
+	}
 }
 
 // CacheDirectory returns the directory of cached parts, which cache events keep up to date.
@@ -86,11 +83,11 @@
 	return b.lowestScore(replicas, q, link, now)
 }
 
-// rankForMissTokens returns the rank of a request with missTokens tokens to compute. Requests with
-// few go first: more callers are answered in time at the same load, and the long requests wait
-// little longer for it.
-func (q Request) rankForMissTokens(missTokens int) int {
-	long := missTokens > longPromptTokens
+// rankFor returns the rank of a request whose missing tokens take the given time to compute.
+// Requests with little go first: more callers are answered in time at the same load, and the long
+// requests wait little longer for it.
+func (q Request) rankFor(computeSeconds float64) int {
+	long := computeSeconds > longPrefillSeconds
 	switch {
 	case q.missesObjective && long:
 		return LateRank
@@ -130,7 +127,7 @@
 // prefer as long as no replica is known to have the part cached. It is empty for a short first
 // part.
 func (b *Balancer) rendezvousOwner(replicas []Replica, q Request) string {
-	if len(q.Parts) < 2 || q.Parts[0].Tokens < minTransferTokens {
+	if len(q.Parts) < 2 || q.Parts[0].Tokens < b.tokensComputedIn(minTransferSeconds, replicas) {
 		return ""
 	}
 	names := make([]string, 0, len(replicas))
@@ -147,34 +144,38 @@
 // scoreReplica returns the choice of replica r with its predicted wait and score; isOwner says that
 // r is the rendezvous hash owner of the prompt's first part.
 func (b *Balancer) scoreReplica(replicas []Replica, r Replica, q Request, link Link, isOwner bool, now time.Duration) Choice {
-	c := Choice{Replica: r, Rank: q.rankForMissTokens(0)}
+	c := Choice{Replica: r, Rank: q.rankFor(0)}
 	l := b.loadOf(r.ID)
-	seconds := b.roundTripSeconds(r) + l.decayedExcessDelay(now)
+	c.RoundTripSeconds = b.roundTripSeconds(r)
+	seconds := c.RoundTripSeconds + l.decayedExcessDelay(now)
 	if !r.Engine {
-		waiting := l.outstandingRequests(now) + 1 - float64(max(r.Slots, 1))
-		seconds += plainRequestSeconds + max(waiting, 0)*plainRequestSeconds/float64(max(r.Slots, 1))
+		plain := b.figuresOf(r.Service).plain()
+		c.queuedRequests = max(l.outstandingRequests(now)+1-float64(max(r.Slots, 1)), 0)
+		seconds += plain + c.queuedRequests*plain/float64(max(r.Slots, 1))
 		return c.withScore(seconds, b.crossRegionCostSeconds(r))
 	}
 	total := sumTokens(q.Parts)
+	f := b.figuresOf(r.Service)
+	rate := f.rate()
+	c.TokensPerSecond, c.DrainTokensPerSecond, c.FixedSeconds = rate, l.drainRate(rate), f.fixed()
 	salt := q.Salt(r.Version)
 	c.HitTokens = b.cacheDirectory.CachedPrefixTokens(r.ID, salt, q.Parts, now)
 	transferSeconds := 0.0
-	if total-c.HitTokens >= minTransferTokens {
-		c.SourceAddress, c.CopiedTokens, transferSeconds = b.transferSource(replicas, r, q, salt, c.HitTokens, link, now)
+	if float64(total-c.HitTokens) >= minTransferSeconds*rate {
+		c.SourceAddress, c.CopiedTokens, transferSeconds = b.transferSource(replicas, r, q, salt, c.HitTokens, rate, link, now)
 	}
 	c.MissTokens = total - c.HitTokens - c.CopiedTokens
-	c.Rank = q.rankForMissTokens(c.MissTokens)
+	computeSeconds := float64(c.MissTokens) / c.DrainTokensPerSecond
+	c.Rank = q.rankFor(float64(c.MissTokens) / rate)
 	c.StoreToFill = b.storeToFill(r, q, salt, now)
 	credit := 0.0
 	if isOwner && c.HitTokens == 0 && c.CopiedTokens == 0 {
-		credit = ownerCreditWeight * float64(c.MissTokens) / prefillTokensPerSecond
+		credit = ownerCreditWeight * float64(c.MissTokens) / rate
 	}
-	rate := l.tokensPerSecond()
-	computeSeconds := float64(c.MissTokens) / rate
-	ahead := l.queuedTokensUpTo(c.Rank, now) + l.startedTokensBelow(c.Rank, now)
+	ahead := l.queuedTokensUpTo(c.Rank, now) + l.startedTokensBelow(c.Rank, rate, now)
 	c.queuedTokens, c.nonPrefillSeconds = ahead+c.MissTokens,
-		seconds+transferSeconds+l.outstandingRequests(now)*secondsPerRunningRequest
-	seconds = c.nonPrefillSeconds + float64(c.queuedTokens)/rate
+		seconds+c.FixedSeconds+transferSeconds+l.outstandingRequests(now)*secondsPerRunningRequest
+	seconds = c.nonPrefillSeconds + float64(c.queuedTokens)/c.DrainTokensPerSecond
 	cost := b.crossRegionCostSeconds(r) + computeSeconds*recomputeCostWeight + transferSeconds*transferCostWeight - credit
 	if q.RemoteLoadUnknown && r.Region != b.location.Region {
 		cost += unknownLoadCostSeconds
@@ -194,20 +195,22 @@
 
 // transferSource returns the address of the replica of the same weights, or of the store, that
 // holds the most leading prompt tokens beyond the hitTokens cached at the destination, with their
-// number and the seconds to transfer them. The address is empty if no transfer is worth it.
-func (b *Balancer) transferSource(replicas []Replica, destination Replica, q Request, salt string, hitTokens int, link Link, now time.Duration) (string, int, float64) {
+// number and the seconds to transfer them. The address is empty if no transfer is worth it; rate is
+// the number of tokens that the destination computes a second.
+func (b *Balancer) transferSource(replicas []Replica, destination Replica, q Request, salt string, hitTokens int, rate float64, link Link, now time.Duration) (string, int, float64) {
 	address, tokens, seconds := "", 0, 0.0
 	if link.MegabitsPerSecond <= 0 {
 		return address, tokens, seconds
 	}
 	consider := func(id, sourceAddress string, megabitsPerSecond, factor float64) {
 		extra := b.cacheDirectory.ConfirmedPrefixTokens(id, salt, q.Parts, now) - hitTokens
-		if extra < minTransferTokens {
+		computeSeconds := float64(extra) / rate
+		if computeSeconds < minTransferSeconds {
 			return
 		}
 		transferSeconds := float64(extra*link.BytesPerToken*8) / (megabitsPerSecond * 1e6) * factor
 		better := extra > tokens || extra == tokens && transferSeconds < seconds
-		if transferSeconds < maxTransferSeconds && transferSeconds < float64(extra)/prefillTokensPerSecond && better {
+		if transferSeconds < maxTransferSeconds && transferSeconds < computeSeconds && better {
 			address, tokens, seconds = sourceAddress, extra, transferSeconds
 		}
 	}
@@ -228,7 +231,7 @@
 // shared parts, or nil.
 func (b *Balancer) storeToFill(r Replica, q Request, salt string, now time.Duration) *CacheStore {
 	shared := q.sharedParts()
-	if len(shared) == 0 {
+	if float64(sumTokens(shared)) < minTransferSeconds*b.figuresOf(r.Service).rate() {
 		return nil
 	}
 	for i, s := range q.CacheStores {
@@ -240,12 +243,16 @@
 }
 
 // sharedParts returns the parts that other prompts may share: all but the last, which is the
-// request's own. It returns nil if they are too short to be worth saving.
-func (q Request) sharedParts() []Part {
-	if len(q.Parts) < 2 || sumTokens(q.Parts[:len(q.Parts)-1]) < minTransferTokens {
-		return nil
+// request's own.
+func (q Request) sharedParts() []Part { return q.Parts[:max(len(q.Parts)-1, 0)] }
+
+// tokensComputedIn returns the prompt tokens that an engine of the replicas' service computes in the
+// given time.
+func (b *Balancer) tokensComputedIn(seconds float64, replicas []Replica) int {
+	if len(replicas) == 0 {
+		return 0
 	}
-	return q.Parts[:len(q.Parts)-1]
+	return int(b.figuresOf(replicas[0].Service).rate() * seconds)
 }
 
 func sumTokens(parts []Part) int {
@@ -268,18 +275,6 @@
 	}
 }
 
-// roundTripSeconds returns the network round trip between this host and a replica.
-func (b *Balancer) roundTripSeconds(r Replica) float64 {
-	switch {
-	case r.Zone == b.location.Zone:
-		return sameZoneRoundTripSeconds
-	case r.Region == b.location.Region:
-		return sameRegionRoundTripSeconds
-	default:
-		return crossRegionRoundTripSeconds
-	}
-}
-
 // crossRegionCostSeconds returns the cost of a request's bytes if the replica is in another region.
 func (b *Balancer) crossRegionCostSeconds(r Replica) float64 {
 	if r.Region == b.location.Region {
@@ -310,7 +305,7 @@
 	}
 	salt := q.Salt(c.Replica.Version)
 	for _, p := range q.Parts {
-		if p.Tokens >= minTransferTokens/8 {
+		if float64(p.Tokens) >= minRecordSeconds*b.figuresOf(c.Replica.Service).rate() {
 			b.cacheDirectory.RecordStored(c.Replica.ID, salt, p.ID, p.Tokens, false, now)
 		}
 	}
@@ -327,8 +322,9 @@
 	l.removeUnstarted(c)
 	if !c.Replica.Engine {
 		l.updateExcessDelay((waited - c.PredictedWait).Seconds(), now)
+		b.learnFromPlain(c, waited.Seconds())
 	} else if c.Rank < ShortLateRank {
-		l.updateTokenRate(c.queuedTokens, waited.Seconds()-c.nonPrefillSeconds)
+		b.learnFromEngine(c, waited.Seconds(), now)
 	}
 }
 
@@ -393,7 +389,7 @@
 	}
 }
 
-// RecordPeerFirstByte records the first byte of the answer to another host's request.
+// RecordPeerFirstByte records the first byte of the answer to another host's request, or its end.
 func (b *Balancer) RecordPeerFirstByte(replica, id string) {
 	delete(b.loadOf(replica).peerRequests, id)
 }
--- a/pkg/fpbalance/load.go
+++ b/pkg/fpbalance/load.go
@@ -14,17 +14,20 @@
 	// peerRequestTTL is how long another host's request counts as queued without a notice of its
 	// first byte.
 	peerRequestTTL = 3 * time.Second
-	// startedPromptRemainingTokens is the average number of tokens left of a long prompt that is being
+	// startedPromptRemainingSeconds is the average computing time left of a long prompt that is being
 	// computed.
-	startedPromptRemainingTokens = 8_000
-	// minRateSampleTokens is the least number of computed tokens that yields a sample of the rate.
-	minRateSampleTokens = 8_000
-	// rateSampleWeight is the weight of the newest sample in the moving average of a rate.
-	rateSampleWeight = 0.1
-	// minTokensPerSecond and maxTokensPerSecond bound the measured rate. The engines in the known
-	// deployments compute 64,000 tokens a second, including the fixed time of their steps.
-	minTokensPerSecond = 8_000
-	maxTokensPerSecond = 250_000
+	startedPromptRemainingSeconds = 0.125
+	// drainSampleWeight is the weight of the newest sample in the moving average of that rate.
+	drainSampleWeight = 0.1
+	// maxDrainRatio and minDrainRatio bound the ratio of that rate and the engine's.
+	maxDrainRatio = 4.0
+	minDrainRatio = 0.125
+	// An engine has little load while at most one of lightLoadDivisor of its slots is used.
+	lightLoadDivisor = 8
+	// minLightLoad is the number of requests that are little load for any engine.
+	minLightLoad = 2
+	// sameAnswerAge is the age up to which a load report came with the answer that begins now.
+	sameAnswerAge = 5 * time.Millisecond
 	// delaySampleWeight is the weight of the newest sample in the moving average of the delay.
 	delaySampleWeight = 0.3
 )
@@ -47,8 +50,9 @@
 		excessDelaySeconds float64
 		excessDelayAt      time.Duration
 		circuit            fproute.CircuitBreaker
-		// measuredTokensPerSecond is the measured prefill rate, 0 before the first sample.
-		measuredTokensPerSecond float64
+		// drainRatio is the ratio of the rate at which the known queue becomes shorter and the engine's,
+		// 0 before the first sample.
+		drainRatio float64
 		// peerRequests holds, by ID, the requests of other hosts that have no first byte yet.
 		peerRequests map[string]peerRequest
 	}
@@ -102,29 +106,42 @@
 	return l.excessDelaySeconds * (1 - float64(age)/float64(3*excessDelayDecay))
 }
 
-// startedTokensBelow returns an upper estimate of the tokens of later ranks that the replica
-// computes before a new request of the given rank: an engine does not preempt a prompt that it
-// has started.
-func (l *replicaLoad) startedTokensBelow(rank int, now time.Duration) int {
-	return min(l.queuedTokensUpTo(LateRank, now)-l.queuedTokensUpTo(rank, now), startedPromptRemainingTokens)
+// startedTokensBelow returns an upper estimate of the tokens of later ranks that the replica, which
+// computes rate tokens a second, computes before a new request of the given rank: an engine does not
+// preempt a prompt that it has started.
+func (l *replicaLoad) startedTokensBelow(rank int, rate float64, now time.Duration) int {
+	return min(l.queuedTokensUpTo(LateRank, now)-l.queuedTokensUpTo(rank, now), int(startedPromptRemainingSeconds*rate))
 }
 
-// tokensPerSecond returns the replica's measured prefill rate, or the default before the first
-// sample.
-func (l *replicaLoad) tokensPerSecond() float64 {
-	if l.measuredTokensPerSecond == 0 {
-		return prefillTokensPerSecond
+// drainRate returns the tokens a second by which the replica's queue, as this host knows it, becomes
+// shorter; engineRate is the rate of its engine. It is higher than that where the engine has computed
+// a part of the queued prompts already, and lower where it has requests that this host doesn't know.
+func (l *replicaLoad) drainRate(engineRate float64) float64 {
+	if l.drainRatio == 0 {
+		return engineRate
 	}
-	return l.measuredTokensPerSecond
+	return l.drainRatio * engineRate
 }
 
-// updateTokenRate adds a sample to the measured rate: the seconds that the tokens took.
-func (l *replicaLoad) updateTokenRate(tokens int, seconds float64) {
-	if tokens < minRateSampleTokens {
+// updateDrainRate adds a sample to the drain rate: the seconds that the tokens took.
+func (l *replicaLoad) updateDrainRate(tokens int, seconds, engineRate float64) {
+	computing := float64(tokens) / engineRate
+	if computing < minRateSampleSeconds {
 		return
 	}
-	sample := float64(tokens) / max(seconds, float64(tokens)/maxTokensPerSecond)
-	l.measuredTokensPerSecond = max(l.tokensPerSecond()*(1-rateSampleWeight)+sample*rateSampleWeight, minTokensPerSecond)
+	sample := computing / max(seconds, computing/maxDrainRatio)
+	before := l.drainRate(engineRate) / engineRate
+	l.drainRatio = max(before*(1-drainSampleWeight)+sample*drainSampleWeight, minDrainRatio)
+}
+
+// hadLightLoad reports whether the replica had few requests besides one whose answer begins now, by
+// the load that the answer tells if it does.
+func (l *replicaLoad) hadLightLoad(slots int, now time.Duration) bool {
+	light := max(minLightLoad, slots/lightLoadDivisor)
+	if l.reportedAt > 0 && now-l.reportedAt < sameAnswerAge {
+		return l.reportedWaiting == 0 && l.reportedRunning <= light
+	}
+	return l.ownRequests <= light && len(l.peerRequests) == 0
 }
 
 // removeUnstarted subtracts the tokens of a request that has its first byte or has ended.
--- a/pkg/fpbalance/types.go
+++ b/pkg/fpbalance/types.go
@@ -122,9 +122,19 @@
 		PredictedWait time.Duration
 		// Score is the predicted wait plus the costs of the choice, in seconds; the lowest wins.
 		Score float64
+		// TokensPerSecond is the estimate of the engine's rate, DrainTokensPerSecond that of the rate
+		// at which the replica's known queue becomes shorter, FixedSeconds that of the fixed time to the
+		// first token, and RoundTripSeconds that of the network round trip.
+		TokensPerSecond      float64
+		DrainTokensPerSecond float64
+		FixedSeconds         float64
+		RoundTripSeconds     float64
 		// queuedTokens is the number of prompt tokens that the replica computes before the first
 		// token of the answer, and nonPrefillSeconds the rest of the predicted wait.
 		queuedTokens      int
 		nonPrefillSeconds float64
+		// queuedRequests is the number of plain requests that the replica ends before it begins this
+		// one.
+		queuedRequests float64
 	}
 )
