Owners by the part that reaches half of a shared prompt; copies by whole cost

Change: the owner follows from the first part with which half of the shared tokens are reached; a copy is made where its time and cost are below those of computing; computing again weighs 3, not 1.5, of its time. Each has a test that plays its load pattern and failed before.

--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -21,7 +21,7 @@
 	unknownLoadCostSeconds = 0.15
 	// recomputeCostWeight weighs the time to compute missing tokens, which delays the requests queued
 	// behind.
-	recomputeCostWeight = 1.5
+	recomputeCostWeight = 3.0
 	// ownerCreditWeight weighs the time to compute a prompt in the credit of the rendezvous hash owner
 	// of its first part. The owner gets it without evidence of cached tokens, so that all hosts choose
 	// the same replica for a new prompt.
@@ -123,24 +123,37 @@
 	return best, nil
 }
 
-// rendezvousOwner returns the rendezvous hash owner of a prompt's first part, which all hosts
-// prefer as long as no replica is known to have the part cached. It is empty for a short first
-// part.
+// rendezvousOwner returns the rendezvous hash owner of a prompt, which all hosts prefer as long as no
+// replica is known to have its shared parts cached. It is empty if they are too short to matter.
 func (b *Balancer) rendezvousOwner(replicas []Replica, q Request) string {
-	if len(q.Parts) < 2 || q.Parts[0].Tokens < b.tokensComputedIn(minTransferSeconds, replicas) {
+	if sumTokens(q.sharedParts()) < b.tokensComputedIn(minTransferSeconds, replicas) {
 		return ""
 	}
 	names := make([]string, 0, len(replicas))
 	for _, r := range replicas {
 		names = append(names, r.ID)
 	}
-	i := fproute.RendezvousOwner(q.Parts[0].ID, names)
+	i := fproute.RendezvousOwner(q.ownerKey(), names)
 	if i < 0 {
 		return ""
 	}
 	return names[i]
 }
 
+// ownerKey returns the ID of the part by which a prompt gets its owner: the first with which at least
+// half of the shared tokens are reached. A short part before it, shared by all prompts of a kind,
+// would give them all one owner.
+func (q Request) ownerKey() string {
+	shared := q.sharedParts()
+	total, sum := sumTokens(shared), 0
+	for _, p := range shared {
+		if sum += p.Tokens; 2*sum >= total {
+			return p.ID
+		}
+	}
+	return ""
+}
+
 // scoreReplica returns the choice of replica r with its predicted wait and score; isOwner says that
 // r is the rendezvous hash owner of the prompt's first part.
 func (b *Balancer) scoreReplica(replicas []Replica, r Replica, q Request, link Link, isOwner bool, now time.Duration) Choice {
@@ -209,8 +222,9 @@
 			return
 		}
 		transferSeconds := float64(extra*link.BytesPerToken*8) / (megabitsPerSecond * 1e6) * factor
+		transferCost, computeCost := transferSeconds*(1+transferCostWeight), computeSeconds*(1+recomputeCostWeight)
 		better := extra > tokens || extra == tokens && transferSeconds < seconds
-		if transferSeconds < maxTransferSeconds && transferSeconds < computeSeconds && better {
+		if transferSeconds < maxTransferSeconds && transferCost < computeCost && better {
 			address, tokens, seconds = sourceAddress, extra, transferSeconds
 		}
 	}
--- a/pkg/fpbalance/balancer_test.go
+++ b/pkg/fpbalance/balancer_test.go
@@ -122,6 +122,52 @@
 	}
 }
 
+// TestOwnersOfNestedPrompts checks the load pattern of prompts that share a short first part and have
+// a long second one in groups: each group has one owner, and the groups have different ones.
+func TestOwnersOfNestedPrompts(t *testing.T) {
+	is := is.New(t)
+	replicas := newEngineReplicas()
+	ownersSeen := make(map[string]bool)
+	for group := range 30 {
+		owner := ""
+		for request := range 3 {
+			q := withChange(newLongRequest(), func(q *Request) {
+				q.Parts = []Part{{ID: "all", Tokens: 1100}, {ID: fmt.Sprint("group", group), Tokens: 4870}, {ID: fmt.Sprint(group, request), Tokens: 6610}}
+			})
+			got := New(Location{Zone: "z1", Region: "r1"}).rendezvousOwner(replicas, q)
+			is.True(owner == "" || got == owner)
+			owner = got
+		}
+		ownersSeen[owner] = true
+	}
+	is.Equal(len(ownersSeen), len(replicas))
+}
+
+// TestCopyBetweenRegions checks that tokens are copied from another region when that costs more time
+// for the request but less of the engines', and not when the link is too slow for that.
+func TestCopyBetweenRegions(t *testing.T) {
+	for name, tt := range map[string]struct {
+		megabitsPerSecond float64
+		copied            int
+	}{
+		"copy takes longer than computing": {megabitsPerSecond: 370_000, copied: 13_300},
+		"copy costs more than computing":   {megabitsPerSecond: 20_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := New(Location{Zone: "z1", Region: "r1"})
+			b.CacheDirectory().RecordStored("c", "salt", "manual", 13_300, true, testStart)
+			link := Link{BytesPerToken: 100_000, MegabitsPerSecond: tt.megabitsPerSecond}
+			busy := newEngineReplicas()
+			b.RecordPeerDispatch("c", "other", 60_000, 0, "salt", nil, testStart)
+			c, err := b.Choose(busy, newLongRequest(), link, testStart)
+			is.NoErr(err)
+			is.True(c.Replica.ID != "c")
+			is.Equal(c.CopiedTokens, tt.copied)
+		})
+	}
+}
+
 // TestNewerWeightsArePreferred checks that a replica with newer weights is chosen unless it is
 // overloaded.
 func TestNewerWeightsArePreferred(t *testing.T) {
