Short prompts have owners within the region, by 0.8 of their shared tokens

Cause: on Annex B grown 659 checks a second share 568 tokens each, below what gave a prompt an owner: each host sent them where it liked, and their parts were read again at each replica. A prompt with a part of its chain cached lost its owner.

--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -44,6 +44,10 @@
 	// minRecordSeconds that of a part that is worth an entry in the directory.
 	minTransferSeconds = 0.01
 	minRecordSeconds   = 0.001
+	// ownerKeyShare is the share of a prompt's shared tokens that its owner's key covers.
+	ownerKeyShare = 0.8
+	// minOwnerSeconds is the computing time of shared parts from which a prompt has an owner.
+	minOwnerSeconds = 0.003
 )
 
 type (
@@ -123,15 +127,21 @@
 	return best, nil
 }
 
-// rendezvousOwner returns the rendezvous hash owner of a prompt, which all hosts prefer as long as no
-// replica is known to have its shared parts cached. It is empty if they are too short to matter.
+// rendezvousOwner returns the rendezvous hash owner of a prompt, which all hosts of a region prefer as
+// long as no replica is known to have its shared parts cached. It is one of the region's replicas
+// unless the shared parts are worth the way to another region, and empty if they are too short to
+// matter.
 func (b *Balancer) rendezvousOwner(replicas []Replica, q Request) string {
-	if sumTokens(q.sharedParts()) < b.tokensComputedIn(minTransferSeconds, replicas) {
+	sharedTokens := sumTokens(q.sharedParts())
+	if sharedTokens == 0 || sharedTokens < b.tokensComputedIn(minOwnerSeconds, replicas) {
 		return ""
 	}
+	credit := ownerCreditWeight * float64(sharedTokens) / b.figuresOf(replicas[0].Service).rate()
 	names := make([]string, 0, len(replicas))
 	for _, r := range replicas {
-		names = append(names, r.ID)
+		if r.Region == b.location.Region || credit >= b.roundTripSeconds(r)+crossRegionTransferCostSeconds {
+			names = append(names, r.ID)
+		}
 	}
 	i := fproute.RendezvousOwner(q.ownerKey(), names)
 	if i < 0 {
@@ -140,14 +150,14 @@
 	return names[i]
 }
 
-// ownerKey returns the ID of the part by which a prompt gets its owner: the first with which at least
-// half of the shared tokens are reached. A short part before it, shared by all prompts of a kind,
-// would give them all one owner.
+// ownerKey returns the ID of the part by which a prompt gets its owner: the first with which most of
+// the shared tokens are reached. A part before it, which more prompts share, would give them all one
+// owner; a short one after it would spread those that share the most.
 func (q Request) ownerKey() string {
 	shared := q.sharedParts()
-	total, sum := sumTokens(shared), 0
+	most, sum := ownerKeyShare*float64(sumTokens(shared)), 0
 	for _, p := range shared {
-		if sum += p.Tokens; 2*sum >= total {
+		if sum += p.Tokens; float64(sum) >= most {
 			return p.ID
 		}
 	}
@@ -155,7 +165,7 @@
 }
 
 // scoreReplica returns the choice of replica r with its predicted wait and score; isOwner says that
-// r is the rendezvous hash owner of the prompt's first part.
+// r is the rendezvous hash owner of the prompt.
 func (b *Balancer) scoreReplica(replicas []Replica, r Replica, q Request, link Link, isOwner bool, now time.Duration) Choice {
 	c := Choice{Replica: r, Rank: q.rankFor(0)}
 	l := b.loadOf(r.ID)
@@ -182,7 +192,7 @@
 	c.Rank = q.rankFor(float64(c.MissTokens) / rate)
 	c.StoreToFill = b.storeToFill(r, q, salt, now)
 	credit := 0.0
-	if isOwner && c.HitTokens == 0 && c.CopiedTokens == 0 {
+	if isOwner && c.HitTokens+c.CopiedTokens < sumTokens(q.sharedParts()) {
 		credit = ownerCreditWeight * float64(c.MissTokens) / rate
 	}
 	ahead := l.queuedTokensUpTo(c.Rank, now) + l.startedTokensBelow(c.Rank, rate, now)
--- a/pkg/fpbalance/balancer_test.go
+++ b/pkg/fpbalance/balancer_test.go
@@ -143,6 +143,36 @@
 	is.Equal(len(ownersSeen), len(replicas))
 }
 
+// TestOwnersOfShortPrompts checks the load pattern of many short prompts in groups: the hosts of a
+// region choose one replica of it for a group, also when some have sent its first part elsewhere.
+func TestOwnersOfShortPrompts(t *testing.T) {
+	is := is.New(t)
+	chosenInAll := make(map[string]bool)
+	replicas := append(newEngineReplicas(), Replica{ID: "d", Address: "1.1.2.2:1", Zone: "z2", Region: "r2", Slots: 8, Version: 1, Engine: true})
+	for group := range 30 {
+		q := withChange(newShortRequest(), func(q *Request) {
+			q.Parts = []Part{{ID: "all", Tokens: 341}, {ID: fmt.Sprint("group", group), Tokens: 227}, {ID: "own", Tokens: 1800}}
+		})
+		for _, region := range []string{"r1", "r2"} {
+			chosen := ""
+			for host := range 4 {
+				b := New(Location{Zone: map[string]string{"r1": "z1", "r2": "z2"}[region], Region: region})
+				if host%2 == 1 {
+					b.CacheDirectory().RecordStored("a", "salt", "all", 341, false, testStart)
+					b.CacheDirectory().RecordStored("c", "salt", "all", 341, false, testStart)
+				}
+				c, err := b.Choose(replicas, q, Link{}, testStart)
+				is.NoErr(err)
+				is.Equal(c.Replica.Region, region)
+				is.True(chosen == "" || c.Replica.ID == chosen)
+				chosen = c.Replica.ID
+			}
+			chosenInAll[chosen] = true
+		}
+	}
+	is.Equal(len(chosenInAll), len(replicas))
+}
+
 // TestCopyBetweenRegions checks that tokens are copied from another region when that costs more time
 // for the request but less of the engines', and not when the link is too slow for that.
 func TestCopyBetweenRegions(t *testing.T) {
