Keys are checked when a request is sent on; a rejection without ID proves nothing

And a rejection without an ID on a kept connection, which may be a late answer to the request before, counted as proof that the request had not run: it was sent again, or refused as not run.

Also tested, and found sound: a stream that trickles bytes ends at its route's timeout with 504; a replica whose entry disappears keeps the stream that it runs, whole and only there.

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -64,8 +64,10 @@
 func (q *request) dispatch(ctx context.Context) {
 	g := q.gateway
 	for {
-		if q.sends > 0 {
-			q.snapshot = g.snapshot.Load()
+		q.snapshot = g.snapshot.Load()
+		if d := q.checkKeyAgain(); d != nil {
+			q.refuseForKey(d)
+			return
 		}
 		if q.sends >= maxSends || len(q.triedReplicas) >= maxReplicasTried || q.runs >= q.route.MaxAttempts {
 			q.failRequest("no attempt left", q.retryAfter())
@@ -87,6 +89,16 @@
 	}
 }
 
+// refuseForKey ends a request whose key no longer allows it. The status says so only if the request
+// has not run.
+func (q *request) refuseForKey(d *rejection) {
+	if q.ledger.Dispatched() || q.stream.headerSent || q.fallback != nil {
+		q.failRequest(d.reason, 0)
+		return
+	}
+	q.reject(d)
+}
+
 // chooseReplica returns the replica for the next attempt and records the attempt with the
 // balancer. A retry that follows a delivered send takes one token from the retry budget; one
 // that follows a replica that could not be reached takes none, since that replica received
@@ -205,11 +217,15 @@
 	q.sends++
 	reply := g.dialect.DecodeReply(a.Status, a.Header)
 	q.recordReply(c, reply)
-	if reply.NotRun {
+	// On a kept connection, a rejection without an ID may be a late one of the request before.
+	if reply.NotRun && (reply.ID == q.caller.ID || a.NewConnection) {
 		return q.handleNotRun(c, a, reply)
 	}
 	q.runs++
 	q.ledger.MarkDispatched()
+	if reply.NotRun {
+		return q.handleIncompleteAnswer(ctx, c, errForeignAnswer)
+	}
 	if q.route.Kind == fpcatalog.Stream && a.Status == http.StatusOK {
 		return q.relayStream(ctx, c, a, reply, onFirstByte)
 	}
--- a/internal/fpgateway/gateway_test.go
+++ b/internal/fpgateway/gateway_test.go
@@ -116,19 +116,20 @@
 		body       string
 		streamCut  bool
 	}{
-		"call rejected everywhere is refused":          {route: "call", behaviours: []fpfake.Behaviour{fpfake.Reject}, status: 503},
-		"call with its answer lost is unknown":         {route: "call", behaviours: []fpfake.Behaviour{fpfake.RunAndReset}, status: 502, runs: 1},
-		"call reset before it ran is unknown":          {route: "call", behaviours: []fpfake.Behaviour{fpfake.ResetBeforeRun}, status: 502},
-		"call truncated is unknown":                    {route: "call", behaviours: []fpfake.Behaviour{fpfake.Truncate}, status: 502, runs: 1},
-		"call without signature is unknown":            {route: "call", behaviours: []fpfake.Behaviour{fpfake.Unsigned}, status: 502, runs: 1},
-		"call left silent ends at the route's timeout": {route: "call", behaviours: []fpfake.Behaviour{fpfake.Silent}, status: 504, runs: 1},
-		"call after a stray answer gets its own":       {route: "call", behaviours: []fpfake.Behaviour{fpfake.StrayResponse}, status: 200, runs: 1, body: "answer to id-1"},
-		"call without a length is whole":               {route: "call", behaviours: []fpfake.Behaviour{fpfake.NoContentLength}, status: 200, runs: 1, body: "answer to id-1"},
-		"call's own failure is forwarded":              {route: "call", behaviours: []fpfake.Behaviour{fpfake.ServerError}, status: 500, runs: 1, body: "failed"},
-		"read with its answer lost runs again":         {route: "read", behaviours: []fpfake.Behaviour{fpfake.RunAndReset}, status: 502, runs: 2},
-		"read that fails twice forwards the failure":   {route: "read", behaviours: []fpfake.Behaviour{fpfake.ServerError}, status: 500, runs: 2, body: "failed"},
-		"chat cut midway looks incomplete":             {route: "chat", behaviours: []fpfake.Behaviour{fpfake.Truncate}, status: 200, runs: 1, streamCut: true},
-		"chat with its answer lost is unknown":         {route: "chat", behaviours: []fpfake.Behaviour{fpfake.RunAndReset}, status: 502, runs: 1},
+		"call rejected everywhere is refused":            {route: "call", behaviours: []fpfake.Behaviour{fpfake.Reject}, status: 503},
+		"call with its answer lost is unknown":           {route: "call", behaviours: []fpfake.Behaviour{fpfake.RunAndReset}, status: 502, runs: 1},
+		"call reset before it ran is unknown":            {route: "call", behaviours: []fpfake.Behaviour{fpfake.ResetBeforeRun}, status: 502},
+		"call truncated is unknown":                      {route: "call", behaviours: []fpfake.Behaviour{fpfake.Truncate}, status: 502, runs: 1},
+		"call without signature is unknown":              {route: "call", behaviours: []fpfake.Behaviour{fpfake.Unsigned}, status: 502, runs: 1},
+		"call left silent ends at the route's timeout":   {route: "call", behaviours: []fpfake.Behaviour{fpfake.Silent}, status: 504, runs: 1},
+		"call after a stray answer gets its own":         {route: "call", behaviours: []fpfake.Behaviour{fpfake.StrayResponse}, status: 200, runs: 1, body: "answer to id-1"},
+		"call without a length is whole":                 {route: "call", behaviours: []fpfake.Behaviour{fpfake.NoContentLength}, status: 200, runs: 1, body: "answer to id-1"},
+		"call's own failure is forwarded":                {route: "call", behaviours: []fpfake.Behaviour{fpfake.ServerError}, status: 500, runs: 1, body: "failed"},
+		"read with its answer lost runs again":           {route: "read", behaviours: []fpfake.Behaviour{fpfake.RunAndReset}, status: 502, runs: 2},
+		"read that fails twice forwards the failure":     {route: "read", behaviours: []fpfake.Behaviour{fpfake.ServerError}, status: 500, runs: 2, body: "failed"},
+		"chat that trickles ends at the route's timeout": {route: "chat", behaviours: []fpfake.Behaviour{fpfake.Trickle}, status: 504, runs: 1},
+		"chat cut midway looks incomplete":               {route: "chat", behaviours: []fpfake.Behaviour{fpfake.Truncate}, status: 200, runs: 1, streamCut: true},
+		"chat with its answer lost is unknown":           {route: "chat", behaviours: []fpfake.Behaviour{fpfake.RunAndReset}, status: 502, runs: 1},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -186,6 +187,66 @@
 	is.Equal(strings.Count(r.body, "data: token"), 6)
 }
 
+// TestRejectionOfAnotherRequest checks that a rejection without an ID proves nothing on a kept
+// connection, where it may be the late answer to the request before: a request that must run at most
+// once is not sent again, and is not refused as not run.
+func TestRejectionOfAnotherRequest(t *testing.T) {
+	is := is.New(t)
+	tc := newTestCluster(t)
+	for range 4 {
+		is.Equal(tc.sendRequest("call", nil).status, http.StatusOK)
+	}
+	before := len(tc.allRuns())
+	tc.queueBehaviours(fpfake.RejectWithoutID)
+	r := tc.sendRequest("call", nil)
+	is.Equal(r.status, http.StatusBadGateway)
+	is.Equal(len(tc.allRuns()), before)
+}
+
+// TestSilentReplicaKeepsRun checks that a replica whose entry disappears, as when it is silent or slow
+// to report, keeps the stream that it runs: the stream ends whole and runs nowhere else.
+func TestSilentReplicaKeepsRun(t *testing.T) {
+	is := is.New(t)
+	tc := newTestCluster(t)
+	for _, e := range tc.engines {
+		e.StreamEvents, e.EventDelay = 10, 60*time.Millisecond
+	}
+	answers := make(chan response, 1)
+	go func() { answers <- tc.sendRequest("hint", nil) }()
+	tc.waitFor(func() bool { return len(tc.allRuns()) == 1 }, "stream running")
+	tc.store.Delete("servers/e1")
+	tc.store.Delete("servers/e2")
+	tc.waitFor(func() bool { return strings.Count(tc.logs.String(), "replica entry deleted") == 2 }, "entries gone")
+	r := <-answers
+	requireNoError(t, r)
+	is.Equal(strings.Count(r.body, "data: token"), 10)
+	is.Equal(len(tc.allRuns()), 1)
+}
+
+// TestKeyRevokedWhileBodyArrives checks that a key is checked when the request is sent on, not only
+// when it arrives: its body, or a pause of this process, may take longer than the key lasts.
+func TestKeyRevokedWhileBodyArrives(t *testing.T) {
+	is := is.New(t)
+	tc := newTestCluster(t)
+	body, bodyWriter := io.Pipe()
+	answers := make(chan response, 1)
+	go func() {
+		answers <- tc.sendRequest("call", func(q *http.Request) { q.Body, q.ContentLength = body, 4 })
+	}()
+	_, err := io.WriteString(bodyWriter, "bo")
+	is.NoErr(err)
+	fpclock.Sleep(context.Background(), 100*time.Millisecond)
+	d := configDocument(2)
+	d["tenants"] = []any{map[string]any{"name": "team", "api_keys": []string{"new"}}}
+	tc.store.Put("op/config", d)
+	tc.waitFor(func() bool { return tc.sendNumberedRequest("read", 100).status == http.StatusUnauthorized }, "the key is refused")
+	_, err = io.WriteString(bodyWriter, "dy")
+	is.NoErr(err)
+	is.NoErr(bodyWriter.Close())
+	is.Equal((<-answers).status, http.StatusUnauthorized)
+	is.True(findRun(tc.allRuns(), "id-1") == nil)
+}
+
 // TestDropsUnsolicitedAnswer checks that an answer that a replica sends unasked never reaches
 // the next caller.
 func TestDropsUnsolicitedAnswer(t *testing.T) {
--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -119,13 +119,8 @@
 	if q.route == nil {
 		return q.rejectUnknown(http.StatusNotFound, "no such route", configFresh)
 	}
-	if c.RequiresKey() && !q.route.Public {
-		if !proof.AllowsKeys(g.settings().Freshness, g.clock()) {
-			return &rejection{status: http.StatusServiceUnavailable, reason: "keys can't be checked: the store is out of reach", retryAfter: staleConfigRetryAfter}
-		}
-		if q.team = c.Team(q.caller.Key); q.team == nil {
-			return q.rejectUnknown(http.StatusUnauthorized, "unknown key", configFresh)
-		}
+	if d := q.checkKey(configFresh); d != nil {
+		return d
 	}
 	name := q.route.PickService(q.caller.ID)
 	if q.service = c.Service(name); q.service == nil {
@@ -140,6 +135,30 @@
 	return nil
 }
 
+// checkKey checks the request's key against the configuration in the snapshot and sets the team.
+func (q *request) checkKey(configFresh bool) *rejection {
+	c, g := q.snapshot.catalog, q.gateway
+	if !c.RequiresKey() || q.route.Public {
+		return nil
+	}
+	if !q.snapshot.proof.AllowsKeys(g.settings().Freshness, g.clock()) {
+		return &rejection{status: http.StatusServiceUnavailable, reason: "keys can't be checked: the store is out of reach", retryAfter: staleConfigRetryAfter}
+	}
+	team := c.Team(q.caller.Key)
+	if team == nil {
+		return q.rejectUnknown(http.StatusUnauthorized, "unknown key", configFresh)
+	}
+	q.team = team
+	return nil
+}
+
+// checkKeyAgain checks the key just before the request is sent to a replica: the key may have been
+// revoked since the request arrived, while its body was read, another replica was tried, or this
+// process was paused.
+func (q *request) checkKeyAgain() *rejection {
+	return q.checkKey(q.snapshot.proof.AllowsDenial(q.gateway.settings().Freshness, q.gateway.clock()))
+}
+
 // rejectUnknown rejects with the given status what a fresh configuration does not contain, and
 // with 503 what a newer configuration might contain.
 func (q *request) rejectUnknown(status int, reason string, configFresh bool) *rejection {
