Requests use replaced weights by their predicted wait, and end at the bound

Change: a request is kept from them when twice its predicted wait and 0.5 s reach beyond the bound less a second; an attempt that has not begun by then is ended. The old check had no end for a request that waited longer than it should.

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -145,11 +145,17 @@
 		silenceTimeout := max(minSilenceTimeout, silenceTimeoutObjectives*q.route.Objective, silenceTimeoutEventGaps*q.route.MaxEventGap)
 		w.TimeToDeadline = min(w.TimeToDeadline, q.arrivedAt+silenceTimeout-now)
 	}
-	// The request may wait in the replica's queue for all the time left before it begins.
-	w.MinVersion = q.snapshot.oldestAllowedVersion(q.caller.Model, q.gateway.settings().OldWeightsLimit, now+w.TimeToDeadline+weightsPropagationMargin)
+	w.TimeToBegin = q.timeToBegin
 	return w
 }
 
+// timeToBegin returns the time in which the request may still begin on a version of the weights; it
+// is without end for a service that has none.
+func (q *request) timeToBegin(version int64) time.Duration {
+	g := q.gateway
+	return q.snapshot.timeToBegin(q.caller.Model, version, g.settings().OldWeightsLimit, g.clock()+weightsPropagationMargin)
+}
+
 // cacheSalt returns the namespace of cached prompt parts, which separates versions of the
 // weights and dedicated teams.
 func (q *request) cacheSalt(version int64) string {
@@ -193,7 +199,14 @@
 			q.announceWork(c, true)
 		}
 	}()
+	attempt, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// A request that has not begun by the time that its replica's weights may no longer be used would
+	// begin too late.
+	beginLimit := time.AfterFunc(q.timeToBegin(c.Replica.Version), cancel)
+	defer beginLimit.Stop()
 	onFirstByte := func() {
+		beginLimit.Stop()
 		started = true
 		now := g.clock()
 		if q.firstByteDelay == 0 {
@@ -206,7 +219,7 @@
 	}
 	q.triedReplicas = append(q.triedReplicas, c.Replica.ID)
 	q.announceWork(c, false)
-	a, err := g.pool.Do(ctx, q.buildCall(c, sentAt))
+	a, err := g.pool.Do(attempt, q.buildCall(c, sentAt))
 	if err != nil {
 		return q.handleNoAnswer(ctx, c, err)
 	}
--- a/internal/fpgateway/gateway_test.go
+++ b/internal/fpgateway/gateway_test.go
@@ -380,6 +380,44 @@
 	}
 }
 
+// TestReplacedWeightsEndInTime checks a rollout that does not come about: requests are served on the
+// replaced weights at first; none that has not begun stays at a replica when the limit less the margin
+// for late news has passed, and none is sent there from then on.
+func TestReplacedWeightsEndInTime(t *testing.T) {
+	const limit, margin = 3 * time.Second, time.Second
+	is := is.New(t)
+	tc := prepareTestCluster(t)
+	tc.hostSettings.OldWeightsLimit = limit
+	for _, e := range tc.engines {
+		e.WeightsLoadTime, e.EventDelay, e.StreamEvents = time.Hour, 100*time.Millisecond, 1
+	}
+	d := configDocument(1)
+	for _, r := range d["routes"].([]any) {
+		r.(map[string]any)["timeout_ms"] = 20_000
+	}
+	tc.store.Put("op/config", d)
+	tc.startHost()
+	tc.waitFor(tc.isReady, "ready")
+	patient := func(q *http.Request) { q.Header.Set("Deadline-Ms", "20000") }
+	is.Equal(tc.sendRequest("chat", patient).status, http.StatusOK)
+	tc.store.Put("op/version/m", map[string]any{"model": "m", "version": 2})
+	named := fpclock.SinceBoot()
+	tc.waitFor(func() bool { return strings.Contains(tc.logs.String(), "weights published") }, "weights known")
+	is.Equal(tc.sendRequest("chat", patient).status, http.StatusOK)
+	for _, e := range tc.engines {
+		e.SetEventDelay(30 * time.Second)
+	}
+	before := len(tc.allRuns())
+	r := tc.sendRequest("chat", patient)
+	is.Equal(len(tc.allRuns()), before+1)
+	is.Equal(r.status, http.StatusBadGateway)
+	tc.waitFor(func() bool { return tc.engines[0].AbandonedStreams()+tc.engines[1].AbandonedStreams() == 1 }, "the attempt's end")
+	is.True(fpclock.SinceBoot()-named < limit-margin+700*time.Millisecond)
+	before = len(tc.allRuns())
+	is.Equal(tc.sendRequest("chat", patient).status, http.StatusServiceUnavailable)
+	is.Equal(len(tc.allRuns()), before)
+}
+
 // TestGracefulStop checks that a planned stop lets running requests end, reports the host as not
 // ready, and gives up the order lease.
 func TestGracefulStop(t *testing.T) {
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"net"
 	"slices"
 	"time"
@@ -270,16 +271,16 @@
 	return list[len(list)-1]
 }
 
-// oldestAllowedVersion returns the oldest version of a model that may still be used: the newest
-// of those published at least limit ago, 0 for none.
-func (s *snapshot) oldestAllowedVersion(model string, limit, now time.Duration) int64 {
-	oldest := int64(0)
+// timeToBegin returns the time from now in which a request may still begin on a version of a model:
+// until limit has passed since a newer version was published.
+func (s *snapshot) timeToBegin(model string, version int64, limit, now time.Duration) time.Duration {
+	left := time.Duration(math.MaxInt64)
 	for _, n := range s.publishedWeights[model] {
-		if limit > 0 && now-n.publishedAt >= limit {
-			oldest = n.version
+		if limit > 0 && n.version > version {
+			left = min(left, n.publishedAt+limit-now)
 		}
 	}
-	return oldest
+	return left
 }
 
 // buildSnapshot returns a snapshot of the current state.
--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -38,6 +38,10 @@
 	maxTransferSeconds = 0.6
 	// transferCostWeight weighs the time of a transfer, which occupies a link but no engine.
 	transferCostWeight = 0.2
+	// A request is kept from weights that it may not use beginWaitFactor times its predicted wait and
+	// beginWaitMargin from now.
+	beginWaitFactor = 2
+	beginWaitMargin = 500 * time.Millisecond
 	// longPrefillSeconds is the computing time above which a request is ranked as long.
 	longPrefillSeconds = 0.15
 	// minTransferSeconds is the least computing time of tokens that are worth a transfer, and
@@ -109,11 +113,14 @@
 	owner := b.rendezvousOwner(replicas, q)
 	best := Choice{Score: -1}
 	for _, r := range replicas {
-		if r.Loading || r.Engine && r.Version < q.MinVersion || slices.Contains(q.ExcludedReplicas, r.ID) ||
+		if r.Loading || slices.Contains(q.ExcludedReplicas, r.ID) ||
 			!b.loadOf(r.ID).circuit.AllowsDispatch(time.Unix(0, int64(now))) {
 			continue
 		}
 		c := b.scoreReplica(replicas, r, q, link, r.ID == owner, now)
+		if !q.mayBegin(c) {
+			continue
+		}
 		if best.Score < 0 || c.Score < best.Score {
 			best = c
 		}
@@ -127,6 +134,15 @@
 	return best, nil
 }
 
+// mayBegin reports whether the request would begin at the chosen replica while it may still use the
+// replica's weights, also if it waits longer than predicted.
+func (q Request) mayBegin(c Choice) bool {
+	if !c.Replica.Engine || q.TimeToBegin == nil {
+		return true
+	}
+	return beginWaitFactor*c.PredictedWait+beginWaitMargin <= q.TimeToBegin(c.Replica.Version)
+}
+
 // rendezvousOwner returns the rendezvous hash owner of a prompt, which all hosts of a region prefer as
 // long as no replica is known to have its shared parts cached. It is one of the region's replicas
 // unless the shared parts are worth the way to another region, and empty if they are too short to
--- a/pkg/fpbalance/types.go
+++ b/pkg/fpbalance/types.go
@@ -83,8 +83,9 @@
 		NewestVersion int64
 		// NewestVersionAge is the time since the newest version was configured.
 		NewestVersionAge time.Duration
-		// MinVersion is the lowest version of the weights that may be used.
-		MinVersion int64
+		// TimeToBegin returns the time in which a request may still begin on a version of the weights;
+		// nil means without limit.
+		TimeToBegin func(version int64) time.Duration
 		// TimeToDeadline is the time left until the deadline of the answer.
 		TimeToDeadline time.Duration
 		// Objective is the target time to the first token; zero means none.
