--- a/internal/fpgateway/rollout.go
+++ b/internal/fpgateway/rollout.go
@@ -45,8 +45,8 @@
 	maxWeightsLoadTime = 8 * time.Second
 	// orderRetryInterval is the time after which an order without effect is repeated.
 	orderRetryInterval = time.Second
-	// At most the number of a model's replicas divided by maxLoadingDivisor load at once: the
-	// platform's weight stores slow down beyond 2 of 9, 14 of 71 and 11 of 57.
+	// At most the number of a model's replicas divided by maxLoadingDivisor load at once, so that the
+	// others can serve meanwhile.
 	maxLoadingDivisor = 5
 	// minConcurrentLoads is the number that may load at once even in a small service.
 	minConcurrentLoads = 2
