A notice crosses to each other zone once, and is forwarded there

Change: a host sends to its own zone and once to each other zone of the region, at a host picked by rendezvous from the request's or replica's ID, which forwards it.

--- a/internal/fpgateway/events.go
+++ b/internal/fpgateway/events.go
@@ -143,7 +143,7 @@
 	for len(longParts) > 0 {
 		n := min(len(longParts), maxCachePartsPerNotice)
 		notice := fpnotice.CacheChange{Replica: r.ID, Epoch: e.Epoch, Parts: longParts[:n]}
-		g.sendNotice(s.nearPeers, fpnotice.Notice{Cache: &notice})
+		g.sendNear(s, r.ID, fpnotice.Notice{Cache: &notice})
 		relayed := notice
 		relayed.Relay = true
 		g.sendNotice(relays, fpnotice.Notice{Cache: &relayed})
--- a/internal/fpgateway/peers.go
+++ b/internal/fpgateway/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/fescuepoint/fescuepoint/internal/fpnotice"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
+	"github.com/fescuepoint/fescuepoint/pkg/fproute"
 )
 
 const (
@@ -20,7 +21,7 @@
 	maxPromptPartsPerNotice = 8
 	// maxBroadcastHosts is the largest fleet in which all hosts are notified of each request. In
 	// a larger one only the hosts of the region are, so that notices don't grow with the square
-	// of the fleet.
+	// of the fleet, and each other zone is sent a notice once.
 	maxBroadcastHosts = 16
 )
 
@@ -61,6 +62,10 @@
 	if n.Host == g.settings().Host {
 		return
 	}
+	if n.RelayInZone {
+		n.RelayInZone = false
+		g.sendNotice(g.snapshot.Load().nearPeers, n)
+	}
 	if w := n.Weights; w != nil {
 		g.enqueueControl(func(c *controlState) { c.recordReplicaVersion(w.Replica, w.Version, g.deadlineIn(w.LoadingMs)) })
 	}
@@ -78,7 +83,7 @@
 		g.handleCacheNotice(c)
 		if c.Relay {
 			c.Relay = false
-			g.sendNotice(g.snapshot.Load().nearPeers, fpnotice.Notice{Cache: c})
+			g.sendNear(g.snapshot.Load(), c.Replica, fpnotice.Notice{Cache: c})
 		}
 	}
 }
@@ -147,6 +152,27 @@
 	}
 }
 
+// sendNear sends a notice to the hosts of this host's region, or to all in a small fleet. Each other
+// zone of the region gets it once, at a host that forwards it there; key spreads this work over the
+// zone's hosts, and notices with the same key go the same way.
+func (g *Gateway) sendNear(s *snapshot, key string, n fpnotice.Notice) {
+	g.sendNotice(s.nearPeers, n)
+	n.RelayInZone = true
+	g.sendNotice(s.zoneRelays(key), n)
+}
+
+// zoneRelays returns the address of one host in each other zone of this host's region, if the fleet
+// is large.
+func (s *snapshot) zoneRelays(key string) []*net.UDPAddr {
+	var out []*net.UDPAddr
+	for _, names := range s.otherZones {
+		if a := s.hostAddresses[names[fproute.RendezvousOwner(key, names)]]; a != nil {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // announceWork notifies other hosts of a request with many tokens to compute, or that its answer
 // has begun.
 func (q *request) announceWork(c fpbalance.Choice, begun bool) {
@@ -160,7 +186,7 @@
 			w.Parts = append(w.Parts, fpnotice.PromptPart(p))
 		}
 	}
-	q.gateway.sendNotice(q.snapshot.nearPeers, fpnotice.Notice{Work: w})
+	q.gateway.sendNear(q.snapshot, q.caller.ID, fpnotice.Notice{Work: w})
 }
 
 // announceWeights records a replica's weights version on this host and notifies all others of
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -76,10 +76,13 @@
 		// zoneHosts are the hosts of this host's availability zone, sorted.
 		zoneHosts     []string
 		hostAddresses map[string]*net.UDPAddr
-		// allPeers are notified of weights, nearPeers of requests and cache events.
+		// allPeers are notified of weights, nearPeers directly of requests and cache events: all in a
+		// small fleet, those of the availability zone in a large one.
 		allPeers  []*net.UDPAddr
 		nearPeers []*net.UDPAddr
-		draining  bool
+		// otherZones are the hosts of each other zone of this host's region in a large fleet.
+		otherZones map[string][]string
+		draining   bool
 		// orderLeaseHolder is the holder of the order lease, "" for none.
 		orderLeaseHolder string
 		storeUnreachable bool
@@ -301,19 +304,25 @@
 	s.hostCount = len(c.hosts)
 	s.hostsByRegion = make(map[string][]string)
 	s.hostAddresses = make(map[string]*net.UDPAddr, len(c.hosts))
+	s.otherZones = make(map[string][]string)
 	s.hostNames = slices.Sorted(maps.Keys(c.hosts))
 	for _, name := range s.hostNames {
 		h := c.hosts[name]
 		s.hostsByRegion[h.region] = append(s.hostsByRegion[h.region], name)
 		s.hostAddresses[name] = h.address
-		if h.zone == c.gateway.settings().Place.Zone {
+		place := c.gateway.settings().Place
+		large := len(c.hosts) > maxBroadcastHosts
+		switch {
+		case h.zone == place.Zone:
 			s.zoneHosts = append(s.zoneHosts, name)
+		case large && h.region == place.Region:
+			s.otherZones[h.zone] = append(s.otherZones[h.zone], name)
 		}
 		if name == c.gateway.settings().Host || h.address == nil {
 			continue
 		}
 		s.allPeers = append(s.allPeers, h.address)
-		if len(c.hosts) <= maxBroadcastHosts || h.region == c.gateway.settings().Place.Region {
+		if !large || h.zone == place.Zone {
 			s.nearPeers = append(s.nearPeers, h.address)
 		}
 	}
--- a/internal/fpnotice/notice.go
+++ b/internal/fpnotice/notice.go
@@ -70,9 +70,12 @@
 		Relay bool `json:",omitempty"`
 	}
 
-	// Notice is the content of one datagram; Host is its sender.
+	// Notice is the content of one datagram; Host is its sender. RelayInZone asks the receiver to
+	// forward the notice to the other hosts of its availability zone.
 	Notice struct {
-		Host    string
+		Host        string
+		RelayInZone bool `json:",omitempty"`
+
 		Work    *Dispatch        `json:",omitempty"`
 		Weights *WeightsChange   `json:",omitempty"`
 		Named   *WeightsAge      `json:",omitempty"`
