--- a/pkg/fpbalance/figures.go
+++ b/pkg/fpbalance/figures.go
@@ -30,8 +30,7 @@
 	// maxSampleSpeedup bounds how much faster than predicted a sample may be, since the predicted
 	// queue may have been empty.
 	maxSampleSpeedup = 4
-	// maxRateDeviation bounds the ratio of a service's rate and the prior, either way: while all
-	// engines have queues that this host does not know of, each sample looks slow.
+	// maxRateDeviation bounds the ratio of a service's rate and the prior, either way.
 	maxRateDeviation = 8
 )
 
