A prompt for a service without replicas is refused, not dropped

Cause: found on reading the change again. Since owners follow from learnt rates, the owner of a prompt was asked of the first of no replicas; the panic closed the caller's connection where a 503 is due, when all replicas of a service are gone.

Change: no replicas, no owner. tokensComputedIn, used by nothing else, is gone. TestNoReplicas panicked before.

--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -149,10 +149,14 @@
 // matter.
 func (b *Balancer) rendezvousOwner(replicas []Replica, q Request) string {
 	sharedTokens := sumTokens(q.sharedParts())
-	if sharedTokens == 0 || sharedTokens < b.tokensComputedIn(minOwnerSeconds, replicas) {
+	if sharedTokens == 0 || len(replicas) == 0 {
 		return ""
 	}
-	credit := ownerCreditWeight * float64(sharedTokens) / b.figuresOf(replicas[0].Service).rate()
+	rate := b.figuresOf(replicas[0].Service).rate()
+	if sharedTokens < int(rate*minOwnerSeconds) {
+		return ""
+	}
+	credit := ownerCreditWeight * float64(sharedTokens) / rate
 	names := make([]string, 0, len(replicas))
 	for _, r := range replicas {
 		if r.Region == b.location.Region || credit >= b.roundTripSeconds(r)+crossRegionTransferCostSeconds {
@@ -286,15 +290,6 @@
 // request's own.
 func (q Request) sharedParts() []Part { return q.Parts[:max(len(q.Parts)-1, 0)] }
 
-// tokensComputedIn returns the prompt tokens that an engine of the replicas' service computes in the
-// given time.
-func (b *Balancer) tokensComputedIn(seconds float64, replicas []Replica) int {
-	if len(replicas) == 0 {
-		return 0
-	}
-	return int(b.figuresOf(replicas[0].Service).rate() * seconds)
-}
-
 func sumTokens(parts []Part) int {
 	sum := 0
 	for _, p := range parts {
--- a/pkg/fpbalance/balancer_test.go
+++ b/pkg/fpbalance/balancer_test.go
@@ -136,6 +136,16 @@
 	}
 }
 
+// TestNoReplicas checks requests of a service whose replicas are all gone.
+func TestNoReplicas(t *testing.T) {
+	for name, q := range map[string]Request{"long prompt": newLongRequest(), "short prompt": newShortRequest(), "no prompt": {}} {
+		t.Run(name, func(t *testing.T) {
+			_, err := New(Location{Zone: "z1", Region: "r1"}).Choose(nil, q, Link{}, testStart)
+			is.New(t).Equal(err, ErrNoReplica)
+		})
+	}
+}
+
 // TestOwnersOfNestedPrompts checks the load pattern of prompts that share a short first part and have
 // a long second one in groups: each group has one owner, and the groups have different ones.
 func TestOwnersOfNestedPrompts(t *testing.T) {
