Crashes of replicas are logged with the prompt parts in flight

Callers saw streams broken off and 502 while engines ended one after the other. The logs could not tell a deadly prompt from an overload that moves from replica to replica: a line said 'unexpected EOF', not whether the replica had ended, nor what its other requests had in common.

The line 'replica crashed' names the proof and the shared prompt parts of the broken attempts with their counts; lines of requests that a replica broke off list their parts; the metric fescuepoint_replica_crashes counts.

--- a/internal/fpconn/conn.go
+++ b/internal/fpconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"math"
 	"net"
 	"sync/atomic"
@@ -102,3 +103,9 @@
 		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 }
+
+// ClosedByPeer reports whether an error means that the other side ended the connection, not this one
+// or the network.
+func ClosedByPeer(err error) bool {
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE) && !errors.Is(err, net.ErrClosed)
+}
--- a/internal/fpconn/pool.go
+++ b/internal/fpconn/pool.go
@@ -93,6 +93,15 @@
 	return n, nil
 }
 
+// Probe opens a connection to an address and closes it; the error is that of the dial.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // releaseConn keeps a connection for at most keepFor, or closes it when the upstream has enough
 // idle connections.
 func (p *Pool) releaseConn(c *conn, keepFor time.Duration) {
--- /dev/null
+++ b/internal/fpgateway/crash.go
@@ -0,0 +1,155 @@
+package fpgateway
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpconn"
+	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
+)
+
+const (
+	// crashGatherTime is the time in which the attempts that one crash breaks are gathered.
+	crashGatherTime = 100 * time.Millisecond
+	// crashProbeTimeout bounds the connection that tells a crash from a single broken answer.
+	crashProbeTimeout = 500 * time.Millisecond
+	// brokenAttemptTTL is how long a broken attempt is kept for proof that its replica crashed.
+	brokenAttemptTTL = 5 * time.Second
+	// maxBrokenAttempts bounds the broken attempts that are kept for one replica.
+	maxBrokenAttempts = 256
+	// maxLoggedParts bounds the prompt parts in the log line of a crash.
+	maxLoggedParts = 12
+)
+
+type (
+	// brokenReplica holds the attempts at a replica that ended without a complete answer.
+	brokenReplica struct {
+		attempts []brokenAttempt
+		// crashed says that the replica is proved to have crashed.
+		crashed bool
+	}
+
+	// brokenAttempt is an attempt that the replica broke off; parts are the IDs of the shared parts
+	// of its prompt.
+	brokenAttempt struct {
+		at    time.Duration
+		parts []string
+	}
+)
+
+// recordBrokenAttempt records an attempt that a replica broke off, and has a new connection tell
+// whether the replica crashed.
+func (g *Gateway) recordBrokenAttempt(r fpbalance.Replica, parts []string) {
+	now := g.clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dropOldBrokenAttempts(now)
+	b := g.brokenReplicas[r.ID]
+	if b == nil {
+		b = &brokenReplica{}
+		g.brokenReplicas[r.ID] = b
+		time.AfterFunc(crashGatherTime, func() { g.probeBrokenReplica(r) })
+	}
+	if len(b.attempts) < maxBrokenAttempts {
+		b.attempts = append(b.attempts, brokenAttempt{at: now, parts: parts})
+	}
+}
+
+// dropOldBrokenAttempts drops the replicas whose last broken attempt is too old.
+func (g *Gateway) dropOldBrokenAttempts(now time.Duration) {
+	maps.DeleteFunc(g.brokenReplicas, func(_ string, b *brokenReplica) bool {
+		return now-b.attempts[len(b.attempts)-1].at > brokenAttemptTTL
+	})
+}
+
+// dropBrokenAttempts drops the attempts that an earlier start of a replica broke off.
+func (g *Gateway) dropBrokenAttempts(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.brokenReplicas, id)
+}
+
+// probeBrokenReplica opens a connection to a replica that broke off an answer. A refused one proves
+// that the replica crashed, an accepted one that it did not.
+func (g *Gateway) probeBrokenReplica(r fpbalance.Replica) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+	defer cancel()
+	err := g.pool.Probe(ctx, r.Address)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		g.markReplicaDown(r.ID)
+		g.recordCrash(r.ID, "connection refused")
+	case err == nil:
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if b := g.brokenReplicas[r.ID]; b != nil && !b.crashed {
+			delete(g.brokenReplicas, r.ID)
+		}
+	}
+}
+
+// recordCrash records proof that a replica crashed, unless no attempt broke at it or its crash is
+// known.
+func (g *Gateway) recordCrash(id, proof string) {
+	g.mu.Lock()
+	b := g.brokenReplicas[id]
+	if b == nil || b.crashed {
+		g.mu.Unlock()
+		return
+	}
+	b.crashed = true
+	broken, parts := len(b.attempts), b.partCounts()
+	g.mu.Unlock()
+	g.metrics.AddToCounter("replica_crashes", 1)
+	g.log("replica crashed", "Replica", id, "Proof", proof, "Broken", broken, "Parts", formatPartCounts(parts))
+}
+
+// partCounts returns the number of broken attempts by the ID of a shared prompt part.
+func (b *brokenReplica) partCounts() map[string]int {
+	counts := make(map[string]int)
+	for _, a := range b.attempts {
+		for _, id := range a.parts {
+			counts[id]++
+		}
+	}
+	return counts
+}
+
+// formatPartCounts lists the parts with the most attempts.
+func formatPartCounts(counts map[string]int) string {
+	ids := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
+	out := make([]string, 0, maxLoggedParts)
+	for _, id := range ids[:min(len(ids), maxLoggedParts)] {
+		out = append(out, fmt.Sprintf("%s:%d", id, counts[id]))
+	}
+	return fmt.Sprint(out)
+}
+
+// sharedPartIDs returns the IDs of the parts of the prompt that other prompts may share: all but the
+// last.
+func (q *request) sharedPartIDs() []string {
+	parts := q.caller.PromptParts
+	ids := make([]string, 0, len(parts))
+	for _, p := range parts[:max(len(parts)-1, 0)] {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
+// noteBrokenAttempt records the attempt if its replica broke it off.
+func (q *request) noteBrokenAttempt(c fpbalance.Choice, err error) {
+	if !fpconn.ClosedByPeer(err) {
+		return
+	}
+	q.broken = true
+	q.gateway.recordBrokenAttempt(c.Replica, q.sharedPartIDs())
+}
--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -354,6 +354,7 @@
 // handleIncompleteAnswer handles an attempt that may have run but returned no complete answer.
 func (q *request) handleIncompleteAnswer(ctx context.Context, c fpbalance.Choice, err error) attemptResult {
 	q.appendTrail("%s broken: %v", c.Replica.ID, err)
+	q.noteBrokenAttempt(c, err)
 	if ctx.Err() == nil && q.route.Repeatable() && q.runs < q.route.MaxAttempts {
 		return tryAnotherReplica
 	}
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -84,6 +84,8 @@
 		mu           sync.Mutex
 		balancer     *fpbalance.Balancer
 		retryWindows map[string]*fplimit.RetryWindow
+		// brokenReplicas holds the replicas that broke off answers, by ID.
+		brokenReplicas map[string]*brokenReplica
 	}
 )
 
@@ -105,6 +107,8 @@
 		stopped:      make(chan struct{}),
 		balancer:     fpbalance.New(s.Place),
 		retryWindows: make(map[string]*fplimit.RetryWindow),
+
+		brokenReplicas: make(map[string]*brokenReplica),
 	}
 	g.pool = fpconn.NewPool(p.Clock, func(string) { g.metrics.AddToCounter("upstream_connections", 1) })
 	g.answerMemory = fpconn.NewBudget(max(int64(float64(s.MemoryBytes)*answerMemoryShare), minAnswerMemoryBytes))
--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -58,6 +58,8 @@
 		stream        streamState
 		// fallback is a replica's own error answer, used if no other answer follows.
 		fallback *bufferedAnswer
+		// broken says that a replica broke off an attempt.
+		broken bool
 		// memory is what the answers that are held for the request take.
 		memory *fpconn.Reservation
 		status int
@@ -277,10 +279,16 @@
 		g.metrics.RecordLatency(team, route, latency)
 		g.metrics.Series(team, route).CountOutcome(outcome, strconv.Itoa(q.status))
 	}
-	g.log("request "+outcome, "RequestID", q.caller.ID, "Route", route, "Team", team, "Status", q.status,
+	fields := []any{
+		"RequestID", q.caller.ID, "Route", route, "Team", team, "Status", q.status,
 		"Reason", q.reason, "Took", latency.String(), "First", q.firstByteDelay.String(), "Left", remaining.String(),
 		"ConfigVersion", version, "ProofAge", g.formatProofAge(now), "Replica", q.choice.Replica.ID,
 		"WeightsVersion", q.choice.Replica.Version, "Predicted", q.choice.PredictedWait.String(),
 		"Rank", q.choice.Rank, "Source", q.choice.SourceAddress, "Hit", q.choice.HitTokens, "Copied", q.choice.CopiedTokens, "Miss", q.choice.MissTokens,
-		"TokensPerSecond", int(q.choice.TokensPerSecond), "DrainTokensPerSecond", int(q.choice.DrainTokensPerSecond), "FixedSeconds", roundSeconds(q.choice.FixedSeconds), "RoundTripSeconds", roundSeconds(q.choice.RoundTripSeconds), "Trail", fmt.Sprint(q.trail))
+		"TokensPerSecond", int(q.choice.TokensPerSecond), "DrainTokensPerSecond", int(q.choice.DrainTokensPerSecond), "FixedSeconds", roundSeconds(q.choice.FixedSeconds), "RoundTripSeconds", roundSeconds(q.choice.RoundTripSeconds), "Trail", fmt.Sprint(q.trail),
+	}
+	if q.broken {
+		fields = append(fields, "Parts", fmt.Sprint(q.sharedPartIDs()))
+	}
+	g.log("request "+outcome, fields...)
 }
--- a/internal/fpgateway/relay.go
+++ b/internal/fpgateway/relay.go
@@ -154,7 +154,7 @@
 		memory.Release()
 	}
 	if !q.stream.headerSent {
-		return q.handleIncompleteAnswer(ctx, c, errStreamTruncated)
+		return q.handleIncompleteAnswer(ctx, c, errors.Mark(errStreamTruncated, io.ErrUnexpectedEOF))
 	}
 	q.appendTrail("%s whole", c.Replica.ID)
 	return requestDone
@@ -188,7 +188,7 @@
 			}
 			continue
 		case errors.Is(err, io.EOF) && len(event) > 0:
-			return event, errStreamTruncated
+			return event, errors.Mark(errStreamTruncated, io.ErrUnexpectedEOF)
 		case err != nil:
 			return event, err
 		case len(event) > maxEventBytes:
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -167,12 +167,21 @@
 		c.fleet.Put(*decoded.Replica)
 	case decoded.RemovedReplica != "":
 		c.gateway.log("replica entry deleted", "Replica", decoded.RemovedReplica, "Revision", i.Revision, "StoreAway", c.storeUnreachable)
-		c.fleet.Remove(decoded.RemovedReplica, i.Revision, now)
+		c.removeReplica(decoded.RemovedReplica, i.Revision, now)
 	case decoded.Weights != nil:
 		c.applyPublishedWeights(*decoded.Weights, i.Revision, now)
 	}
 }
 
+// removeReplica removes a replica whose entry was deleted. One that was not draining and broke off
+// answers has crashed.
+func (c *controlState) removeReplica(id string, revision int64, now time.Duration) {
+	if !c.storeUnreachable && !c.fleet.Draining(id) {
+		c.gateway.recordCrash(id, "entry deleted")
+	}
+	c.fleet.Remove(id, revision, now)
+}
+
 // applyHostEntry applies a change of a host's entry.
 func (c *controlState) applyHostEntry(i fpstore.Item) {
 	name := i.Key[len(hostKeyPrefix):]
--- a/pkg/fpfleet/fleet.go
+++ b/pkg/fpfleet/fleet.go
@@ -93,6 +93,9 @@
 	}
 }
 
+// Draining reports whether a replica is registered as draining.
+func (f *Fleet) Draining(id string) bool { return f.replicas[id].Draining }
+
 // MarkStoreUnreachable records that the store can't be reached.
 func (f *Fleet) MarkStoreUnreachable() { f.storeUnreachable = true }
 
