--- /dev/null
+++ b/internal/fpgateway/quarantine_test.go
@@ -0,0 +1,201 @@
+package fpgateway_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
+	"github.com/fescuepoint/fescuepoint/internal/fpgateway"
+	"github.com/fescuepoint/fescuepoint/platform/fpfake"
+)
+
+const (
+	deadlyPart = "dead"
+	// reactionTime is the time in which all hosts must know a deadly part, counted from the crash
+	// of deadlyCrashes replicas; maxLateArrivals may reach replicas after it.
+	reactionTime    = 4 * time.Second
+	deadlyCrashes   = 5
+	maxLateArrivals = 3
+	// afterReaction is how long such requests go on after reactionTime.
+	afterReaction    = 3 * time.Second
+	deadlyInterval   = 150 * time.Millisecond
+	harmlessInterval = 15 * time.Millisecond
+	// replicaDowntime is how long a crashed replica is away.
+	replicaDowntime = 400 * time.Millisecond
+	// minServedShare is the least share of harmless requests that are served once the deadly ones
+	// are kept from replicas.
+	minServedShare = 0.5
+)
+
+type (
+	// crashingFleet is a set of engines that a prompt part crashes; each crashed engine is replaced
+	// by a new one.
+	crashingFleet struct {
+		tc      *testCluster
+		mu      sync.Mutex
+		engines []*fpfake.Replica
+		crashes []time.Time
+		closed  bool
+	}
+)
+
+// newCrashingFleet registers the given number of engines.
+func newCrashingFleet(tc *testCluster, count int) *crashingFleet {
+	f := &crashingFleet{tc: tc}
+	for range count {
+		f.start()
+	}
+	tc.t.Cleanup(func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.closed = true
+		for _, e := range f.engines {
+			e.Close()
+		}
+	})
+	return f
+}
+
+func (f *crashingFleet) start() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return
+	}
+	e := fpfake.NewReplica(fmt.Sprintf("d%d", len(f.engines)), "llm", "z1", "m")
+	e.CrashPart, e.EventDelay = deadlyPart, 20*time.Millisecond
+	e.OnCrash = sync.OnceFunc(func() {
+		f.mu.Lock()
+		f.crashes = append(f.crashes, time.Now())
+		f.mu.Unlock()
+		time.AfterFunc(replicaDowntime, func() {
+			f.tc.store.Delete("servers/" + e.ID)
+			f.start()
+		})
+	})
+	f.engines = append(f.engines, e)
+	f.tc.store.Put("servers/"+e.ID, e.Registration("ready"))
+}
+
+// crashCount returns the number of crashes, and the time of the last of the first deadlyCrashes.
+func (f *crashingFleet) crashCount() (int, time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.crashes) < deadlyCrashes {
+		return len(f.crashes), time.Time{}
+	}
+	return len(f.crashes), f.crashes[deadlyCrashes-1]
+}
+
+// deadlyArrivals returns the number of requests with the deadly part that reached replicas after a
+// time.
+func (f *crashingFleet) deadlyArrivals(after time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, e := range f.engines {
+		for _, r := range e.ExecutedRequests() {
+			if r.At.After(after) && r.HasPromptPart(deadlyPart) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// newCrashingCluster starts two hosts, without the engines of the usual cluster.
+func newCrashingCluster(t *testing.T, engines int) (*crashingFleet, []*testCluster) {
+	t.Helper()
+	tc := prepareTestCluster(t)
+	for _, e := range tc.engines {
+		tc.store.Delete("servers/" + e.ID)
+	}
+	f := newCrashingFleet(tc, engines)
+	tc.chooseAddresses()
+	tc.store.Put("op/config", configDocument(1))
+	other, _ := tc.addHost(func(*fpgateway.Settings) {})
+	return f, []*testCluster{tc, other}
+}
+
+// TestDeadlyPartEndsReplicaAfterReplica sends requests with a prompt part that crashes each replica to
+// all hosts, amid harmless ones that share their other parts, and checks that soon none reaches a
+// replica, also through a host that starts later, and that the harmless ones are served.
+func TestDeadlyPartEndsReplicaAfterReplica(t *testing.T) {
+	is := is.New(t)
+	f, hosts := newCrashingCluster(t, 6)
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	var mu sync.Mutex
+	served, sent, refused := 0, 0, 0
+	var lateFrom time.Time
+	every := func(interval time.Duration, send func(number int)) {
+		wg.Go(func() {
+			tick := time.NewTicker(interval)
+			defer tick.Stop()
+			for i := 0; ; i++ {
+				select {
+				case <-tick.C:
+					wg.Go(func() { send(i) })
+				case <-stop:
+					return
+				}
+			}
+		})
+	}
+	every(harmlessInterval, func(i int) {
+		began := time.Now()
+		session := rand.IntN(20)
+		r := hosts[i%len(hosts)].sendNumberedRequest("hint", 1_000_000+i, withPrompt(fmt.Sprintf("aa:1200,s%d:40,own%d:20", session, i)))
+		mu.Lock()
+		defer mu.Unlock()
+		if !lateFrom.IsZero() && began.After(lateFrom) {
+			sent++
+			if r.err == nil && r.status == http.StatusOK {
+				served++
+			}
+		}
+	})
+	every(deadlyInterval, func(i int) {
+		began := time.Now()
+		r := hosts[i%len(hosts)].sendNumberedRequest("hint", 2_000_000+i, withPrompt(fmt.Sprintf("aa:1200,s%d:40,%s:60,own-d%d:20", rand.IntN(20), deadlyPart, i)))
+		mu.Lock()
+		defer mu.Unlock()
+		if !lateFrom.IsZero() && began.After(lateFrom) && r.err == nil && r.status == http.StatusServiceUnavailable {
+			refused++
+		}
+	})
+	hosts[0].waitFor(func() bool { n, _ := f.crashCount(); return n >= deadlyCrashes }, "five crashes")
+	_, fifth := f.crashCount()
+	late := fifth.Add(reactionTime)
+	fpclock.Sleep(context.Background(), time.Until(late)) // the requests go on in real time
+	mu.Lock()
+	lateFrom = late
+	mu.Unlock()
+	fpclock.Sleep(context.Background(), afterReaction)
+	crashes, _ := f.crashCount()
+	t.Logf("%d crashes, %d requests with the part reached replicas too late", crashes, f.deadlyArrivals(late))
+	is.True(f.deadlyArrivals(late) <= maxLateArrivals)
+
+	later := &testCluster{t: t, store: hosts[0].store, hostSettings: hosts[0].hostSettings, logs: &syncBuffer{}}
+	later.hostSettings.Host = "h3"
+	later.chooseAddresses()
+	later.startHost()
+	later.waitFor(later.isReady, "the later host is ready")
+	for i := range 4 {
+		r := later.sendNumberedRequest("hint", 3_000_000+i, withPrompt(fmt.Sprintf("aa:1200,%s:60,own-l%d:20", deadlyPart, i)))
+		requireNoError(t, r)
+		is.Equal(r.status, http.StatusServiceUnavailable)
+	}
+	close(stop)
+	wg.Wait()
+	is.True(f.deadlyArrivals(late) <= maxLateArrivals)
+	is.True(sent > 0 && float64(served) >= minServedShare*float64(sent))
+	is.True(refused > 0) // as not run
+}
