Requests with a prompt part that crashes replicas are kept from the replicas

Cause: a failure was put down to the replica alone. Its requests were sent on, by the host's own second attempt and by the callers' retries, and each took the next replica (a query of death). No host knew what the requests at a crash had in common, and none learnt it from another.

Change: each host takes the shared parts of all prompts that a crash broke as evidence, hosts report crashes to each other, and a complete answer clears the parts of its prompt. A part that was there at three separate failures, that nobody has answered since, and that most crashes speak against is put into quarantine (pkg/fpquarantine): crashes at one moment count as one failure, and nothing is judged while nothing is answered. The part is written to the platform's store, from which later hosts learn it, and told to the others by notice at once. Requests with it are refused as not run; those that wait at a replica are ended before their answer begins. Quarantine ends after ten minutes or when its key is deleted.

--- a/internal/fpgateway/crash.go
+++ b/internal/fpgateway/crash.go
@@ -47,10 +47,17 @@
 // recordBrokenAttempt records an attempt that a replica broke off, and has a new connection tell
 // whether the replica crashed.
 func (g *Gateway) recordBrokenAttempt(r fpbalance.Replica, parts []string) {
-	now := g.clock()
+	a := brokenAttempt{at: g.clock(), parts: parts}
+	if g.addBrokenAttempt(r, a) {
+		g.reportCrash(r.ID, []brokenAttempt{a})
+	}
+}
+
+// addBrokenAttempt keeps a broken attempt and reports whether its replica is known to have crashed.
+func (g *Gateway) addBrokenAttempt(r fpbalance.Replica, a brokenAttempt) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.dropOldBrokenAttempts(now)
+	g.dropOldBrokenAttempts(a.at)
 	b := g.brokenReplicas[r.ID]
 	if b == nil {
 		b = &brokenReplica{}
@@ -58,8 +65,9 @@
 		time.AfterFunc(crashGatherTime, func() { g.probeBrokenReplica(r) })
 	}
 	if len(b.attempts) < maxBrokenAttempts {
-		b.attempts = append(b.attempts, brokenAttempt{at: now, parts: parts})
+		b.attempts = append(b.attempts, a)
 	}
+	return b.crashed
 }
 
 // dropOldBrokenAttempts drops the replicas whose last broken attempt is too old.
@@ -105,16 +113,17 @@
 		return
 	}
 	b.crashed = true
-	broken, parts := len(b.attempts), b.partCounts()
+	broken := slices.Clone(b.attempts)
 	g.mu.Unlock()
 	g.metrics.AddToCounter("replica_crashes", 1)
-	g.log("replica crashed", "Replica", id, "Proof", proof, "Broken", broken, "Parts", formatPartCounts(parts))
+	g.log("replica crashed", "Replica", id, "Proof", proof, "Broken", len(broken), "Parts", formatPartCounts(countParts(broken)))
+	g.reportCrash(id, broken)
 }
 
-// partCounts returns the number of broken attempts by the ID of a shared prompt part.
-func (b *brokenReplica) partCounts() map[string]int {
+// countParts returns the number of broken attempts by the ID of a shared prompt part.
+func countParts(broken []brokenAttempt) map[string]int {
 	counts := make(map[string]int)
-	for _, a := range b.attempts {
+	for _, a := range broken {
 		for _, id := range a.parts {
 			counts[id]++
 		}
@@ -134,10 +143,9 @@
 	return fmt.Sprint(out)
 }
 
-// sharedPartIDs returns the IDs of the parts of the prompt that other prompts may share: all but the
+// sharedPartIDs returns the IDs of the parts of a prompt that other prompts may share: all but the
 // last.
-func (q *request) sharedPartIDs() []string {
-	parts := q.caller.PromptParts
+func sharedPartIDs(parts []fpbalance.Part) []string {
 	ids := make([]string, 0, len(parts))
 	for _, p := range parts[:max(len(parts)-1, 0)] {
 		ids = append(ids, p.ID)
@@ -151,5 +159,5 @@
 		return
 	}
 	q.broken = true
-	q.gateway.recordBrokenAttempt(c.Replica, q.sharedPartIDs())
+	q.gateway.recordBrokenAttempt(c.Replica, q.sharedParts)
 }
--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -69,6 +69,10 @@
 			q.refuseForKey(d)
 			return
 		}
+		if part, remaining := g.quarantinedPart(q.sharedParts); part != "" {
+			q.failRequest("prompt part "+part+" crashes replicas", remaining)
+			return
+		}
 		if q.sends >= maxSends || len(q.triedReplicas) >= maxReplicasTried || q.runs >= q.route.MaxAttempts {
 			q.failRequest("no attempt left", q.retryAfter())
 			return
@@ -199,7 +203,8 @@
 			q.announceWork(c, true)
 		}
 	}()
-	attempt, cancel := context.WithCancel(ctx)
+	attempt, cancelCause := context.WithCancelCause(ctx)
+	cancel := func() { cancelCause(nil) }
 	defer cancel()
 	// A request that has not begun by the time that its replica's weights may no longer be used would
 	// begin too late.
@@ -219,9 +224,11 @@
 	}
 	q.triedReplicas = append(q.triedReplicas, c.Replica.ID)
 	q.announceWork(c, false)
+	g.trackUnbegun(q, cancelCause)
 	a, err := g.pool.Do(attempt, q.buildCall(c, sentAt))
+	g.untrackUnbegun(q)
 	if err != nil {
-		return q.handleNoAnswer(ctx, c, err)
+		return q.handleNoAnswer(ctx, c, err, context.Cause(attempt))
 	}
 	defer a.Close()
 	if a.NewConnection {
@@ -332,13 +339,14 @@
 	return tryAnotherReplica
 }
 
-// handleNoAnswer handles an attempt that ended without an answer.
-func (q *request) handleNoAnswer(ctx context.Context, c fpbalance.Choice, err error) attemptResult {
+// handleNoAnswer handles an attempt that ended without an answer; cause tells why this host ended it,
+// nil if it did not.
+func (q *request) handleNoAnswer(ctx context.Context, c fpbalance.Choice, err, cause error) attemptResult {
 	g := q.gateway
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		g.markReplicaDown(c.Replica.ID)
-	case ctx.Err() == nil:
+	case ctx.Err() == nil && !errors.Is(cause, errPartQuarantined):
 		g.recordFailure(c.Replica.ID)
 	}
 	if errors.Is(err, fpconn.ErrNotSent) {
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -86,6 +86,7 @@
 		retryWindows map[string]*fplimit.RetryWindow
 		// brokenReplicas holds the replicas that broke off answers, by ID.
 		brokenReplicas map[string]*brokenReplica
+		quarantine     *quarantine
 	}
 )
 
@@ -109,6 +110,7 @@
 		retryWindows: make(map[string]*fplimit.RetryWindow),
 
 		brokenReplicas: make(map[string]*brokenReplica),
+		quarantine:     newQuarantine(),
 	}
 	g.pool = fpconn.NewPool(p.Clock, func(string) { g.metrics.AddToCounter("upstream_connections", 1) })
 	g.answerMemory = fpconn.NewBudget(max(int64(float64(s.MemoryBytes)*answerMemoryShare), minAnswerMemoryBytes))
@@ -133,6 +135,7 @@
 	rollout := newRollout(g)
 	for _, f := range []func(context.Context) error{
 		g.logQueue.Run, g.runControl, follower.Run, g.maintainHostEntry, rollout.run, g.runEventReaders, g.receiveNotices, g.applyReloads,
+		g.runQuarantine, g.storeQuarantine,
 	} {
 		taskCtx, stop := context.WithCancel(inner)
 		r.Add(func() error { return f(taskCtx) }, func(error) { stop() })
--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -32,16 +32,18 @@
 type (
 	// request is one caller's request while it is handled.
 	request struct {
-		gateway   *Gateway
-		writer    http.ResponseWriter
-		http      *http.Request
-		snapshot  *snapshot
-		route     *fpcatalog.Route
-		team      *fpcatalog.Team
-		service   *fpcatalog.Service
-		caller    CallerHeader
-		body      []byte
-		arrivedAt time.Duration
+		gateway  *Gateway
+		writer   http.ResponseWriter
+		http     *http.Request
+		snapshot *snapshot
+		route    *fpcatalog.Route
+		team     *fpcatalog.Team
+		service  *fpcatalog.Service
+		caller   CallerHeader
+		// sharedParts are the IDs of the prompt's parts that other prompts may share.
+		sharedParts []string
+		body        []byte
+		arrivedAt   time.Duration
 		// deadline is when the caller's deadline or the route's timeout ends, whichever is
 		// earlier.
 		deadline time.Duration
@@ -104,7 +106,7 @@
 func (q *request) admit() *rejection {
 	g := q.gateway
 	caller, err := g.dialect.DecodeCaller(q.http.Header)
-	q.caller = caller
+	q.caller, q.sharedParts = caller, sharedPartIDs(caller.PromptParts)
 	if err != nil {
 		return &rejection{status: http.StatusBadRequest, reason: err.Error()}
 	}
@@ -288,7 +290,7 @@
 		"TokensPerSecond", int(q.choice.TokensPerSecond), "DrainTokensPerSecond", int(q.choice.DrainTokensPerSecond), "FixedSeconds", roundSeconds(q.choice.FixedSeconds), "RoundTripSeconds", roundSeconds(q.choice.RoundTripSeconds), "Trail", fmt.Sprint(q.trail),
 	}
 	if q.broken {
-		fields = append(fields, "Parts", fmt.Sprint(q.sharedPartIDs()))
+		fields = append(fields, "Parts", fmt.Sprint(q.sharedParts))
 	}
 	g.log("request "+outcome, fields...)
 }
--- a/internal/fpgateway/peers.go
+++ b/internal/fpgateway/peers.go
@@ -79,6 +79,15 @@
 	if v := n.Gone; v != nil {
 		g.markReplicaReplaced(v.Replica)
 	}
+	if c := n.Crash; c != nil {
+		g.handleCrashNotice(c)
+	}
+	if a := n.Answered; a != nil {
+		g.handleAnsweredNotice(a)
+	}
+	if p := n.Quarantined; p != nil {
+		g.quarantinePart(p.ID, n.Host)
+	}
 	if c := n.Cache; c != nil {
 		g.handleCacheNotice(c)
 		if c.Relay {
--- /dev/null
+++ b/internal/fpgateway/quarantine.go
@@ -0,0 +1,346 @@
+package fpgateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
+	"github.com/fescuepoint/fescuepoint/internal/fpnotice"
+	"github.com/fescuepoint/fescuepoint/internal/fpstore"
+	"github.com/fescuepoint/fescuepoint/pkg/fpquarantine"
+)
+
+const (
+	// quarantineKeyPrefix is the prefix of the keys of the prompt parts in quarantine, by ID. An
+	// operator releases a part by deleting its key.
+	quarantineKeyPrefix = "fescuepoint/quarantine/"
+	// quarantineInterval is the interval at which evidence is judged and answers are announced.
+	quarantineInterval = 100 * time.Millisecond
+	// storeQuarantineInterval is the interval at which parts are written to the store, or deleted,
+	// where that is due.
+	storeQuarantineInterval = 200 * time.Millisecond
+	// storeDelayPerHost spreads the writes of all hosts, most of which find the part written.
+	storeDelayPerHost = 10 * time.Millisecond
+	// maxPartIDBytes is the longest ID of a part that can be quarantined; it fits into a key and
+	// into a notice.
+	maxPartIDBytes = 160
+	// maxNoticePartsBytes bounds the IDs in one notice.
+	maxNoticePartsBytes = 900
+	// noticePartBytes is what a part takes in a notice besides its ID.
+	noticePartBytes = 20
+)
+
+// errPartQuarantined ends attempts whose prompt has a part that was put into quarantine.
+var errPartQuarantined = errors.New("a part of the prompt was put into quarantine")
+
+type (
+	// quarantine is a host's state of the parts that crash replicas; the gateway's mutex guards it.
+	quarantine struct {
+		tracker *fpquarantine.Tracker
+		// revisions holds the store's revisions of the parts in it.
+		revisions map[string]int64
+		// writeAt holds the times at which parts that are not in the store are written.
+		writeAt map[string]time.Duration
+		// expired holds the parts whose entry is to be deleted from the store.
+		expired map[string]bool
+		// answered holds the answered parts to announce.
+		answered map[string]bool
+		// unbegun holds the attempts that have no answer yet.
+		unbegun map[*request]context.CancelCauseFunc
+	}
+)
+
+func newQuarantine() *quarantine {
+	return &quarantine{
+		tracker: fpquarantine.New(), revisions: make(map[string]int64), writeAt: make(map[string]time.Duration),
+		expired: make(map[string]bool), answered: make(map[string]bool), unbegun: make(map[*request]context.CancelCauseFunc),
+	}
+}
+
+// reportCrash takes the broken attempts of a crash as evidence and sends it to the other hosts.
+func (g *Gateway) reportCrash(replica string, broken []brokenAttempt) {
+	now := g.clock()
+	var parts []fpquarantine.Part
+	seen := make(map[string]bool)
+	for _, a := range broken {
+		for depth, id := range a.parts {
+			if !seen[id] && len(id) <= maxPartIDBytes {
+				seen[id] = true
+				parts = append(parts, fpquarantine.Part{ID: id, Depth: depth})
+			}
+		}
+	}
+	if len(parts) == 0 {
+		return
+	}
+	g.recordCrashEvidence(replica, parts, broken[0].at)
+	peers := g.snapshot.Load().allPeers
+	report := fpnotice.ReplicaCrash{Replica: replica, AgeMs: (now - broken[0].at).Milliseconds()}
+	forEachNotice(parts, func(p fpquarantine.Part) string { return p.ID }, func(chunk []fpquarantine.Part) {
+		c := report
+		for _, p := range chunk {
+			c.Parts = append(c.Parts, fpnotice.CrashedPart(p))
+		}
+		g.sendNotice(peers, fpnotice.Notice{Crash: &c})
+	})
+}
+
+// forEachNotice calls send with as many items at a time as fit into a notice.
+func forEachNotice[T any](items []T, id func(T) string, send func([]T)) {
+	start, size := 0, 0
+	for i, v := range items {
+		n := len(id(v)) + noticePartBytes
+		if size+n > maxNoticePartsBytes && i > start {
+			send(items[start:i])
+			start, size = i, 0
+		}
+		size += n
+	}
+	if start < len(items) {
+		send(items[start:])
+	}
+}
+
+// handleCrashNotice takes another host's report of a crash as evidence.
+func (g *Gateway) handleCrashNotice(c *fpnotice.ReplicaCrash) {
+	parts := make([]fpquarantine.Part, 0, len(c.Parts))
+	for _, p := range c.Parts {
+		parts = append(parts, fpquarantine.Part(p))
+	}
+	g.recordCrashEvidence(c.Replica, parts, g.clock()-time.Duration(c.AgeMs)*time.Millisecond)
+}
+
+func (g *Gateway) recordCrashEvidence(replica string, parts []fpquarantine.Part, at time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, id := range g.quarantine.tracker.RecordCrash(replica, parts, at) {
+		g.quarantine.answered[id] = true
+	}
+}
+
+// handleAnsweredNotice takes another host's answers as evidence; this host need not announce the same.
+func (g *Gateway) handleAnsweredNotice(a *fpnotice.PartsAnswered) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quarantine.tracker.RecordPeerAnswer(a.IDs, g.clock()-time.Duration(a.AgeMs)*time.Millisecond)
+	for _, id := range a.IDs {
+		delete(g.quarantine.answered, id)
+	}
+}
+
+// recordWholeAnswer records a complete answer to a prompt.
+func (g *Gateway) recordWholeAnswer(sharedParts []string) {
+	if len(sharedParts) == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, id := range g.quarantine.tracker.RecordAnswer(sharedParts, g.clock()) {
+		g.quarantine.answered[id] = true
+	}
+}
+
+// quarantinedPart returns the first of the parts that is in quarantine, "" for none, and how long it
+// stays there.
+func (g *Gateway) quarantinedPart(ids []string) (string, time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantine.tracker.Find(ids, g.clock())
+}
+
+// trackUnbegun makes an attempt end when a part of its prompt is put into quarantine.
+func (g *Gateway) trackUnbegun(q *request, cancel context.CancelCauseFunc) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quarantine.unbegun[q] = cancel
+}
+
+func (g *Gateway) untrackUnbegun(q *request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.quarantine.unbegun, q)
+}
+
+// runQuarantine judges the evidence until the context ends.
+func (g *Gateway) runQuarantine(ctx context.Context) error {
+	for fpclock.Sleep(ctx, quarantineInterval) {
+		g.mu.Lock()
+		now := g.clock()
+		convicted := g.quarantine.tracker.Convict(now)
+		expired := g.quarantine.tracker.Expired(now)
+		for _, id := range expired {
+			g.quarantine.expired[id] = true
+		}
+		var answered []string
+		for id := range g.quarantine.answered {
+			answered = append(answered, id)
+		}
+		clear(g.quarantine.answered)
+		count := len(g.quarantine.tracker.Quarantined())
+		g.mu.Unlock()
+		peers := g.snapshot.Load().allPeers
+		for _, id := range convicted {
+			g.enforceQuarantine(id, g.settings().Host)
+			g.announceQuarantined(id)
+		}
+		for _, id := range expired {
+			g.releasePart(id, "time")
+		}
+		forEachNotice(answered, func(id string) string { return id }, func(ids []string) {
+			g.sendNotice(peers, fpnotice.Notice{Answered: &fpnotice.PartsAnswered{IDs: ids}})
+		})
+		g.metrics.SetGauge("quarantined_parts", float64(count))
+	}
+	return nil
+}
+
+// announceQuarantined tells the other hosts of a part in quarantine, which they may not learn from the
+// store soon.
+func (g *Gateway) announceQuarantined(id string) {
+	if part, _ := g.quarantinedPart([]string{id}); part != "" {
+		g.sendNotice(g.snapshot.Load().allPeers, fpnotice.Notice{Quarantined: &fpnotice.PartQuarantined{ID: id}})
+	}
+}
+
+// quarantinePart puts a part into quarantine that the store or another host names.
+func (g *Gateway) quarantinePart(id, source string) {
+	g.mu.Lock()
+	added := len(id) <= maxPartIDBytes && g.quarantine.tracker.Quarantine(id, g.clock())
+	g.mu.Unlock()
+	if added {
+		g.enforceQuarantine(id, source)
+	}
+}
+
+// enforceQuarantine ends the attempts that may still begin with a part that was put into quarantine,
+// and has the part written to the store.
+func (g *Gateway) enforceQuarantine(id, source string) {
+	ended := 0
+	g.mu.Lock()
+	for q, cancel := range g.quarantine.unbegun {
+		for _, part := range q.sharedParts {
+			if part == id {
+				cancel(errPartQuarantined)
+				ended++
+			}
+		}
+	}
+	if _, stored := g.quarantine.revisions[id]; !stored {
+		delay := rand.N(time.Duration(g.snapshot.Load().hostCount+1) * storeDelayPerHost)
+		g.quarantine.writeAt[id] = g.clock() + delay
+	}
+	g.mu.Unlock()
+	g.log("prompt part quarantined", "Part", id, "Source", source, "Ended", ended)
+}
+
+// releasePart ends a part's quarantine.
+func (g *Gateway) releasePart(id, reason string) {
+	g.mu.Lock()
+	released := g.quarantine.tracker.Release(id)
+	delete(g.quarantine.writeAt, id)
+	g.mu.Unlock()
+	if released {
+		g.log("prompt part released", "Part", id, "Reason", reason)
+	}
+}
+
+// applyQuarantineEntry applies the store's entry of a part.
+func (g *Gateway) applyQuarantineEntry(id string, i fpstore.Item) {
+	g.mu.Lock()
+	if i.Deleted {
+		delete(g.quarantine.revisions, id)
+	} else {
+		g.quarantine.revisions[id] = i.Revision
+		delete(g.quarantine.writeAt, id)
+	}
+	g.mu.Unlock()
+	if i.Deleted {
+		g.releasePart(id, "entry deleted")
+		return
+	}
+	g.quarantinePart(id, "store")
+}
+
+// releaseUnlisted releases the parts whose entry is missing from a complete list of the store.
+func (g *Gateway) releaseUnlisted(items []fpstore.Item) {
+	listed := make(map[string]bool)
+	for _, i := range items {
+		if id, ok := strings.CutPrefix(i.Key, quarantineKeyPrefix); ok {
+			listed[id] = true
+		}
+	}
+	var gone []string
+	g.mu.Lock()
+	for id := range g.quarantine.revisions {
+		if !listed[id] {
+			delete(g.quarantine.revisions, id)
+			gone = append(gone, id)
+		}
+	}
+	g.mu.Unlock()
+	for _, id := range gone {
+		g.releasePart(id, "entry deleted")
+	}
+}
+
+// storeQuarantine writes parts in quarantine to the store, from which hosts that start later learn
+// them, and deletes the entries of those that were released by time, until the context ends.
+func (g *Gateway) storeQuarantine(ctx context.Context) error {
+	for fpclock.Sleep(ctx, storeQuarantineInterval) {
+		for id, t := range g.dueQuarantineWrites() {
+			if err := g.commitQuarantine(ctx, t); err != nil {
+				g.log("quarantine not stored", "Part", id, "Error", err.Error())
+				g.announceQuarantined(id)
+				fpclock.Sleep(ctx, hostLeaseRetryPause)
+				break
+			}
+			g.mu.Lock()
+			delete(g.quarantine.writeAt, id)
+			delete(g.quarantine.expired, id)
+			g.mu.Unlock()
+		}
+	}
+	return nil
+}
+
+// dueQuarantineWrites returns the transactions that write parts to the store, or delete them there, by
+// the part's ID.
+func (g *Gateway) dueQuarantineWrites() map[string]fpstore.Transaction {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock()
+	due := make(map[string]fpstore.Transaction)
+	for id, at := range g.quarantine.writeAt {
+		if key := quarantineKeyPrefix + id; now >= at {
+			due[id] = fpstore.Transaction{
+				Conditions: []fpstore.Condition{{Key: key}},
+				Puts:       []fpstore.Put{{Key: key, Value: []byte(g.settings().Host)}},
+			}
+		}
+	}
+	for id := range g.quarantine.expired {
+		revision, ok := g.quarantine.revisions[id]
+		if !ok {
+			delete(g.quarantine.expired, id)
+			continue
+		}
+		key := quarantineKeyPrefix + id
+		due[id] = fpstore.Transaction{Conditions: []fpstore.Condition{{Key: key, Revision: revision}}, Deletes: []string{key}}
+	}
+	return due
+}
+
+// commitQuarantine commits a transaction about a part. A conflict means that another host has done so.
+func (g *Gateway) commitQuarantine(ctx context.Context, t fpstore.Transaction) error {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	_, err := g.store.Commit(ctx, t)
+	if errors.Is(err, fpstore.ErrConflict) {
+		return nil
+	}
+	return err
+}
--- a/internal/fpgateway/quarantine_test.go
+++ b/internal/fpgateway/quarantine_test.go
@@ -199,3 +199,65 @@
 	is.True(sent > 0 && float64(served) >= minServedShare*float64(sent))
 	is.True(refused > 0) // as not run
 }
+
+// TestQuarantineFollowsItsEntry checks that a part whose entry is in the store is refused as not run,
+// also in the middle of a prompt but not as its last part, and served once an operator has deleted the
+// entry.
+func TestQuarantineFollowsItsEntry(t *testing.T) {
+	is := is.New(t)
+	tc := newTestCluster(t)
+	tc.store.Put("fescuepoint/quarantine/dead", "by hand")
+	status := func(prompt string) int { return tc.sendRequest("chat", withPrompt(prompt)).status }
+	tc.waitFor(func() bool { return status("aa:1200,dead:40,own:20") == http.StatusServiceUnavailable }, "refused")
+	before := len(tc.allRuns())
+	r := tc.sendRequest("chat", withPrompt("aa:1200,dead:40,own:20"))
+	is.Equal(r.status, http.StatusServiceUnavailable)
+	is.True(r.header.Get("Retry-After") != "")
+	is.Equal(len(tc.allRuns()), before)
+	is.Equal(status("aa:1200,own:20"), http.StatusOK)
+	is.Equal(status("aa:1200,dead:20"), http.StatusOK)
+	tc.store.Delete("fescuepoint/quarantine/dead")
+	tc.waitFor(func() bool { return status("aa:1200,dead:40,own:20") == http.StatusOK }, "served again")
+}
+
+// TestQuarantineEndsQueuedAttempts checks that a request that waits at a replica for its answer to begin
+// ends when a part of its prompt is put into quarantine.
+func TestQuarantineEndsQueuedAttempts(t *testing.T) {
+	is := is.New(t)
+	tc := newTestCluster(t)
+	tc.queueBehaviours(fpfake.Silent)
+	ended := make(chan response, 1)
+	go func() { ended <- tc.sendNumberedRequest("hint", 7, withPrompt("aa:1200,dead:40,own:20")) }()
+	tc.waitFor(func() bool { return len(tc.allRuns()) == 1 }, "running")
+	tc.store.Put("fescuepoint/quarantine/dead", "by hand")
+	r := <-ended
+	requireNoError(t, r)
+	is.Equal(r.status, http.StatusBadGateway) // it may have run
+	is.Equal(len(tc.allRuns()), 1)            // and is not sent again
+}
+
+// TestQuarantineReachesStoreAfterOutage checks that a part that was convicted while the store was out of
+// reach is written once the store is back.
+func TestQuarantineReachesStoreAfterOutage(t *testing.T) {
+	f, hosts := newCrashingCluster(t, 12)
+	hosts[0].waitFor(func() bool {
+		_, ok := f.tc.store.GetString("fescuepoint/hosts/h2")
+		return ok
+	}, "both hosts registered")
+	fpclock.Sleep(context.Background(), time.Second) // until each host has seen the other's entry
+	f.tc.store.SetFault(fpfake.StoreFault{Status: http.StatusServiceUnavailable})
+	number := 0
+	hosts[0].waitFor(func() bool {
+		number++
+		hosts[0].sendNumberedRequest("hint", number, withPrompt(fmt.Sprintf("aa:1200,s:40,own%d:20", number)))
+		if number%8 == 0 {
+			hosts[0].sendNumberedRequest("hint", 1000+number, withPrompt(fmt.Sprintf("aa:1200,%s:60,own%d:20", deadlyPart, number)))
+		}
+		return hosts[1].linesWith("prompt part quarantined") != ""
+	}, "learnt by the other host")
+	f.tc.store.SetFault(fpfake.StoreFault{})
+	hosts[0].waitFor(func() bool {
+		_, ok := f.tc.store.GetString("fescuepoint/quarantine/" + deadlyPart)
+		return ok
+	}, "stored")
+}
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -116,6 +117,7 @@
 	var listed []fpfleet.Replica
 	if u.Complete {
 		clear(c.hosts)
+		c.gateway.releaseUnlisted(u.Items)
 		c.orderLeaseHolder = ""
 	}
 	for _, i := range u.Items {
@@ -148,6 +150,10 @@
 		c.applyHostEntry(i)
 		return
 	}
+	if id, ok := strings.CutPrefix(i.Key, quarantineKeyPrefix); ok {
+		c.gateway.applyQuarantineEntry(id, i)
+		return
+	}
 	if i.Key == orderLeaseKey {
 		c.orderLeaseHolder = string(i.Value)
 		c.gateway.log("order lease entry received", "Holder", c.orderLeaseHolder, "Revision", i.Revision)
--- a/internal/fpnotice/notice.go
+++ b/internal/fpnotice/notice.go
@@ -70,6 +70,30 @@
 		Relay bool `json:",omitempty"`
 	}
 
+	// CrashedPart is a shared part of a prompt that a replica was answering as it crashed.
+	CrashedPart struct {
+		ID    string
+		Depth int `json:",omitempty"`
+	}
+
+	// ReplicaCrash reports the shared parts of the prompts that a replica was answering as it crashed.
+	ReplicaCrash struct {
+		Replica string
+		AgeMs   int64
+		Parts   []CrashedPart
+	}
+
+	// PartsAnswered reports that prompts with these parts were answered completely.
+	PartsAnswered struct {
+		IDs   []string
+		AgeMs int64 `json:",omitempty"`
+	}
+
+	// PartQuarantined reports that a part of prompts crashes replicas.
+	PartQuarantined struct {
+		ID string
+	}
+
 	// Notice is the content of one datagram; Host is its sender. RelayInZone asks the receiver to
 	// forward the notice to the other hosts of its availability zone.
 	Notice struct {
@@ -81,6 +105,10 @@
 		Named   *WeightsAge      `json:",omitempty"`
 		Gone    *ReplicaReplaced `json:",omitempty"`
 		Cache   *CacheChange     `json:",omitempty"`
+
+		Crash       *ReplicaCrash    `json:",omitempty"`
+		Answered    *PartsAnswered   `json:",omitempty"`
+		Quarantined *PartQuarantined `json:",omitempty"`
 	}
 
 	// Socket sends and receives notices over UDP.
--- /dev/null
+++ b/pkg/fpquarantine/tracker.go
@@ -0,0 +1,279 @@
+package fpquarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// Duration is how long a part stays in quarantine.
+	Duration = 10 * time.Minute
+
+	// minEpisodes is the least number of separate failures that convict a part. The crashes within
+	// episodeLength of the first one count as one failure, since a loss of power or of a network
+	// takes many replicas at the same time.
+	minEpisodes   = 3
+	episodeLength = 500 * time.Millisecond
+	// settleTime is the time after the last of these failures in which another host may report an
+	// answer that clears the part.
+	settleTime = 300 * time.Millisecond
+	// minOtherAnswers is the least number of complete answers without the part since then: as long
+	// as nothing is answered, the lack of answers is no evidence.
+	minOtherAnswers = 3
+	// tieCrashes is the number of crashes from which one of several parts with the same evidence is
+	// convicted.
+	tieCrashes = 4
+	// evidenceTTL is how long a crash counts.
+	evidenceTTL = time.Minute
+	// mergeTime is the time in which reports of a replica's crash are about the same crash.
+	mergeTime = 1500 * time.Millisecond
+
+	maxCrashes       = 128
+	maxPartsPerCrash = 512
+	maxAnswered      = 8192
+	maxQuarantined   = 256
+)
+
+type (
+	// Part is a part of a prompt that other prompts may share. Depth is its position in the prompt,
+	// 0 first.
+	Part struct {
+		ID    string
+		Depth int
+	}
+
+	// Tracker holds the evidence of one host and the parts in quarantine. It is not safe for
+	// concurrent use.
+	Tracker struct {
+		// crashes holds the known crashes, oldest first.
+		crashes []*crash
+		// answered holds the times of the last complete answer to a prompt with the part.
+		answered map[string]time.Duration
+		// answers counts all complete answers.
+		answers     int
+		quarantined map[string]time.Duration
+	}
+
+	// crash is one crash of a replica with the parts of the requests that it broke off, by ID.
+	crash struct {
+		replica string
+		at      time.Duration
+		depths  map[string]int
+		// answersBefore is the number of complete answers before the crash became known.
+		answersBefore int
+		// explained says that one of the parts is in quarantine, so that the crash speaks against no
+		// other.
+		explained bool
+	}
+
+	// suspect is the evidence against a part.
+	suspect struct {
+		id            string
+		depth         int
+		crashes       int
+		episodes      int
+		episodeStart  time.Duration
+		sufficientAt  time.Duration
+		answersBefore int
+	}
+)
+
+// New returns a tracker without evidence.
+func New() *Tracker {
+	return &Tracker{answered: make(map[string]time.Duration), quarantined: make(map[string]time.Duration)}
+}
+
+// RecordCrash records that a replica crashed at a time and broke off requests with the given parts. A
+// report about a known crash adds its parts. It returns the IDs of the parts that have been answered
+// since, which clears them.
+func (t *Tracker) RecordCrash(replica string, parts []Part, at time.Duration) []string {
+	var cleared []string
+	c := t.crash(replica, at)
+	if c.explained {
+		return nil
+	}
+	for _, p := range parts {
+		if answered, ok := t.answered[p.ID]; ok && answered > c.at {
+			cleared = append(cleared, p.ID)
+			continue
+		}
+		if len(c.depths) < maxPartsPerCrash {
+			c.depths[p.ID] = max(c.depths[p.ID], p.Depth)
+		}
+	}
+	t.explainCrashes()
+	return cleared
+}
+
+// crash returns the known crash of a replica at about the given time, or a new one.
+func (t *Tracker) crash(replica string, at time.Duration) *crash {
+	for _, c := range t.crashes {
+		if c.replica == replica && (c.at-at).Abs() < mergeTime {
+			return c
+		}
+	}
+	c := &crash{replica: replica, at: at, depths: make(map[string]int), answersBefore: t.answers}
+	i, _ := slices.BinarySearchFunc(t.crashes, at, func(c *crash, at time.Duration) int { return int(c.at - at) })
+	t.crashes = slices.Insert(t.crashes, i, c)
+	if len(t.crashes) > maxCrashes {
+		t.crashes = t.crashes[1:]
+	}
+	return c
+}
+
+// RecordAnswer records a complete answer to a prompt with the given parts on this host. It returns
+// those that it cleared of suspicion.
+func (t *Tracker) RecordAnswer(ids []string, now time.Duration) []string {
+	t.answers++
+	return t.clear(ids, now)
+}
+
+// RecordPeerAnswer records that another host got a complete answer to a prompt with each of the parts.
+func (t *Tracker) RecordPeerAnswer(ids []string, at time.Duration) { t.clear(ids, at) }
+
+// clear drops the evidence against parts from crashes before a time.
+func (t *Tracker) clear(ids []string, at time.Duration) []string {
+	var cleared []string
+	for _, id := range ids {
+		t.answered[id] = max(t.answered[id], at)
+		found := false
+		for _, c := range t.crashes {
+			if _, ok := c.depths[id]; ok && c.at < at {
+				delete(c.depths, id)
+				found = true
+			}
+		}
+		if found {
+			cleared = append(cleared, id)
+		}
+	}
+	if len(t.answered) > maxAnswered {
+		t.dropOldAnswers(at)
+	}
+	return cleared
+}
+
+// dropOldAnswers drops the older half of what is known of answers, and all that is too old to clear
+// anything.
+func (t *Tracker) dropOldAnswers(now time.Duration) {
+	times := slices.Sorted(maps.Values(t.answered))
+	oldest := max(times[len(times)/2], now-evidenceTTL)
+	maps.DeleteFunc(t.answered, func(_ string, at time.Duration) bool { return at < oldest })
+}
+
+// Convict puts the parts into quarantine that the evidence convicts, and returns them.
+func (t *Tracker) Convict(now time.Duration) []string {
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return now-c.at > evidenceTTL })
+	var convicted []string
+	for len(t.crashes) >= minEpisodes {
+		s, ok := t.primeSuspect()
+		if !ok || now < s.sufficientAt+settleTime || t.answers-s.answersBefore < minOtherAnswers || !t.Quarantine(s.id, now) {
+			break
+		}
+		convicted = append(convicted, s.id)
+	}
+	return convicted
+}
+
+// primeSuspect returns the part that most of the unexplained crashes speak against. Among parts with
+// the same evidence it is the deepest, which the fewest prompts share, once there are enough crashes.
+func (t *Tracker) primeSuspect() (suspect, bool) {
+	var best suspect
+	tied := false
+	for _, s := range t.suspects() {
+		switch {
+		case s.crashes > best.crashes:
+			best, tied = *s, false
+		case s.crashes == best.crashes:
+			tied = true
+			if s.depth > best.depth || s.depth == best.depth && s.id < best.id {
+				best = *s
+			}
+		}
+	}
+	return best, best.episodes >= minEpisodes && (!tied || best.crashes >= tieCrashes)
+}
+
+// suspects returns the evidence against each part that a crash speaks against.
+func (t *Tracker) suspects() map[string]*suspect {
+	out := make(map[string]*suspect)
+	for _, c := range t.crashes {
+		for id, depth := range c.depths {
+			s := out[id]
+			if s == nil {
+				s = &suspect{id: id}
+				out[id] = s
+			}
+			s.depth = max(s.depth, depth)
+			s.crashes++
+			if s.episodes > 0 && c.at-s.episodeStart < episodeLength {
+				continue
+			}
+			s.episodes++
+			s.episodeStart = c.at
+			if s.episodes == minEpisodes {
+				s.sufficientAt, s.answersBefore = c.at, c.answersBefore
+			}
+		}
+	}
+	return out
+}
+
+// Quarantine puts a part into quarantine, unless there are too many, and reports whether it was not.
+// The crashes that the part explains no longer speak against other parts.
+func (t *Tracker) Quarantine(id string, now time.Duration) bool {
+	if _, ok := t.quarantined[id]; ok || len(t.quarantined) >= maxQuarantined {
+		return false
+	}
+	t.quarantined[id] = now
+	t.explainCrashes()
+	return true
+}
+
+// explainCrashes drops the evidence of crashes that a part in quarantine explains.
+func (t *Tracker) explainCrashes() {
+	for _, c := range t.crashes {
+		for id := range c.depths {
+			if _, ok := t.quarantined[id]; ok {
+				c.explained, c.depths = true, nil
+				break
+			}
+		}
+	}
+}
+
+// Release ends a part's quarantine and reports whether it was in quarantine.
+func (t *Tracker) Release(id string) bool {
+	_, ok := t.quarantined[id]
+	delete(t.quarantined, id)
+	return ok
+}
+
+// Expired returns the parts whose quarantine is over by time.
+func (t *Tracker) Expired(now time.Duration) []string {
+	var out []string
+	for id, since := range t.quarantined {
+		if now-since >= Duration {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Quarantined returns the parts in quarantine, sorted.
+func (t *Tracker) Quarantined() []string { return slices.Sorted(maps.Keys(t.quarantined)) }
+
+// Find returns the first of the parts that is in quarantine, and for how much longer; it returns ""
+// if there is none.
+func (t *Tracker) Find(ids []string, now time.Duration) (string, time.Duration) {
+	if len(t.quarantined) == 0 {
+		return "", 0
+	}
+	for _, id := range ids {
+		if since, ok := t.quarantined[id]; ok {
+			return id, max(since+Duration-now, 0)
+		}
+	}
+	return "", 0
+}
