Own interface: a prompt that crashes upstreams stops at two, and its messages are judged

Callers of the own interface would see what those on the platform saw: one chat request was sent to six upstreams, each of which it crashed, and the next request began anew.

An upstream that breaks off an answer and then refuses the connection, or no longer knows the attempt, has crashed. A request under which two upstreams crashed is sent to no third. The shared messages of the prompt (all but the last) are judged by the same tracker as the platform's prompt parts, and requests with a convicted one are refused as not run.

Each host judges by itself here: what one has convicted is not told to the others.

--- a/internal/fpdispatch/chat.go
+++ b/internal/fpdispatch/chat.go
@@ -45,8 +45,10 @@
 		sinkBegun        bool
 		firstPieceSeen   bool
 		usage            fpchat.Usage
-		target           target
-		attemptID        string
+		// crashes counts the upstreams that crashed under the request.
+		crashes   int
+		target    target
+		attemptID string
 	}
 )
 
@@ -62,7 +64,11 @@
 // allowed.
 func (r *chatRun) run(ctx context.Context) RequestResult {
 	r.countRequest()
+	parts := promptParts(r.request)
 	for attempts := 1; ; attempts++ {
+		if part, remaining := r.dispatcher.quarantinedPart(parts); part != "" {
+			return r.newResult(r.refuseQuarantined(part, remaining))
+		}
 		t, err := r.dispatcher.placeChat(r.admitted, r.request, r.model, r.pinnedWeights, r.excludedReplicas)
 		if err != nil {
 			return r.newResult(r.refusePlacement(err, t))
@@ -71,6 +77,7 @@
 		err = r.runAttempt(ctx)
 		switch {
 		case err == nil:
+			r.dispatcher.recordWholeAnswer(parts)
 			return r.newResult(r.ledger.CompleteOutcome())
 		case errors.Is(err, ErrCallerGone) || ctx.Err() != nil:
 			r.cancelAttempt()
@@ -92,10 +99,16 @@
 // outcome and true if none may.
 func (r *chatRun) finishOrRetry(err error, attempts int) (fpoutcome.Outcome, bool) {
 	r.dispatcher.recordFailure(r.target)
+	if errors.Is(err, errUpstreamCrashed) {
+		r.crashes++
+		r.dispatcher.recordCrash(r.target.candidate.Replica, promptParts(r.request))
+	}
 	r.excludedReplicas = append(slices.Clone(r.excludedReplicas), r.target.candidate.Replica)
 	switch {
 	case r.dispatchGate != nil && r.ledger.Dispatched():
 		return r.ledger.IncompleteOutcome("the upstream broke off: "+err.Error(), 0), true
+	case r.crashes >= maxCrashesPerRequest:
+		return r.ledger.IncompleteOutcome("upstreams crashed under the request: "+err.Error(), 0), true
 	case errors.Is(err, ErrDeadlinePassed), attempts >= maxAttempts:
 		return r.ledger.IncompleteOutcome(err.Error(), defaultRetryAfter), true
 	case !errors.Is(err, fpupstream.ErrNotRun) && !r.dispatcher.takeRetryToken():
@@ -120,6 +133,12 @@
 	return r.ledger.IncompleteOutcome(err.Error(), retryAfter)
 }
 
+func (r *chatRun) refuseQuarantined(part string, remaining time.Duration) fpoutcome.Outcome {
+	reason := "prompt part " + part + " crashes upstreams"
+	r.dispatcher.addRecord(r.admitted, fprecord.Refused, "", reason)
+	return r.ledger.IncompleteOutcome(reason, remaining)
+}
+
 func (r *chatRun) newResult(o fpoutcome.Outcome) RequestResult {
 	return RequestResult{Outcome: o, Usage: r.usage, Upstream: r.target.candidate.Replica}
 }
@@ -160,7 +179,10 @@
 func (r *chatRun) resumeAttempt(ctx context.Context, cause error) (*fpupstream.Stream, error) {
 	s, err := r.dispatcher.client.ResumeStream(ctx, r.target.candidate.Address, r.attemptID, r.assembler.Delivered())
 	if errors.Is(err, fpupstream.ErrNotRun) {
-		return nil, errors.Mark(errors.Newf("%v, then %v", cause, err), fpupstream.ErrAttemptUnknown)
+		err = errors.Mark(errors.Newf("%v, then %v", cause, err), fpupstream.ErrAttemptUnknown)
+	}
+	if errors.Is(err, fpupstream.ErrAttemptUnknown) && errors.Is(cause, fpupstream.ErrInterrupted) {
+		err = errors.Mark(err, errUpstreamCrashed)
 	}
 	return s, err
 }
--- a/internal/fpdispatch/dispatcher.go
+++ b/internal/fpdispatch/dispatcher.go
@@ -17,6 +17,7 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpupstream"
 	"github.com/fescuepoint/fescuepoint/pkg/fpclaim"
 	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
+	"github.com/fescuepoint/fescuepoint/pkg/fpquarantine"
 	"github.com/fescuepoint/fescuepoint/pkg/fprecord"
 	"github.com/fescuepoint/fescuepoint/pkg/fproute"
 )
@@ -77,6 +78,8 @@
 		runningRequests   atomic.Int64
 		pendingPlacements []fproute.Placement
 		placementTimes    []time.Time
+		quarantine        *fpquarantine.Tracker
+		startedAt         time.Time
 	}
 
 	// AdmittedRequest is an admitted request, without its content.
@@ -133,6 +136,9 @@
 		records:  records,
 		metrics:  metrics,
 		router:   fproute.NewRouter(s.Placement),
+
+		quarantine: fpquarantine.New(),
+		startedAt:  time.Now(),
 	}
 }
 
--- /dev/null
+++ b/internal/fpdispatch/quarantine.go
@@ -0,0 +1,60 @@
+package fpdispatch
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpchat"
+	"github.com/fescuepoint/fescuepoint/pkg/fpquarantine"
+)
+
+// maxCrashesPerRequest is the number of upstreams that may crash under one request; it is sent to no
+// further one, since it may be the cause.
+const maxCrashesPerRequest = 2
+
+// errUpstreamCrashed means that an upstream broke off an answer and no longer knows the attempt.
+var errUpstreamCrashed = errors.New("the upstream crashed")
+
+// promptParts returns the messages that other prompts may share, all but the last, by their content's
+// hash.
+func promptParts(r fpchat.Request) []fpquarantine.Part {
+	shared := r.Messages[:max(len(r.Messages)-1, 0)]
+	parts := make([]fpquarantine.Part, 0, len(shared))
+	for depth, m := range shared {
+		parts = append(parts, fpquarantine.Part{ID: strconv.FormatUint(xxhash.Sum64String(m.Content), 16), Depth: depth})
+	}
+	return parts
+}
+
+// recordCrash takes the crash of an upstream under a request as evidence against the parts of its
+// prompt.
+func (d *Dispatcher) recordCrash(replica string, parts []fpquarantine.Part) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.quarantine.RecordCrash(replica, parts, time.Since(d.startedAt))
+}
+
+// recordWholeAnswer takes a complete answer as evidence for the parts of its prompt.
+func (d *Dispatcher) recordWholeAnswer(parts []fpquarantine.Part) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.quarantine.RecordAnswer(fpquarantine.IDs(parts), time.Since(d.startedAt))
+}
+
+// quarantinedPart returns the first part of a prompt that crashes upstreams, "" for none, and how long
+// it stays in quarantine.
+func (d *Dispatcher) quarantinedPart(parts []fpquarantine.Part) (string, time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Since(d.startedAt)
+	for _, id := range d.quarantine.Expired(now) {
+		d.quarantine.Release(id)
+	}
+	if convicted := d.quarantine.Convict(now); len(convicted) > 0 {
+		d.metrics.AddToCounter("quarantined_prompt_parts", len(convicted))
+	}
+	return d.quarantine.Find(fpquarantine.IDs(parts), now)
+}
--- /dev/null
+++ b/internal/fpdispatch/quarantine_test.go
@@ -0,0 +1,153 @@
+package fpdispatch
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpchat"
+	"github.com/fescuepoint/fescuepoint/internal/fpengine"
+	"github.com/fescuepoint/fescuepoint/internal/fpstandin"
+	"github.com/fescuepoint/fescuepoint/internal/fpstate"
+	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
+	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
+	"github.com/fescuepoint/fescuepoint/pkg/fproute"
+)
+
+const (
+	deadlyText = "deadly passage"
+	// deadlyReaction, deadlyCrashes and maxLateArrivals are the bounds for the fleet: the time from
+	// the fifth crash, and the requests that may reach engines after it.
+	deadlyReaction  = 4 * time.Second
+	deadlyCrashes   = 5
+	maxLateArrivals = 3
+	engineDowntime  = 2 * time.Second
+)
+
+type (
+	// fragileEngines are engines that crash as they begin to answer a prompt with the deadly text.
+	fragileEngines struct {
+		mu       sync.Mutex
+		arrivals []time.Time
+		stops    []func()
+	}
+)
+
+// serve serves an engine at an address. When the engine crashes, it breaks off its connections and
+// refuses new ones for a while.
+func (f *fragileEngines) serve(ef *engineFixture, address string, next http.Handler) {
+	var stop func()
+	crash := sync.OnceFunc(func() {
+		go stop()
+		time.AfterFunc(engineDowntime, func() { f.serve(ef, address, next) })
+	})
+	stop = ef.network.Serve(address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil || bytes.Contains(body, []byte(deadlyText)) {
+			f.mu.Lock()
+			f.arrivals = append(f.arrivals, time.Now())
+			f.mu.Unlock()
+			crash()
+			panic(http.ErrAbortHandler)
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		next.ServeHTTP(w, r)
+	}))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stops = append(f.stops, stop)
+}
+
+// close stops all engines.
+func (f *fragileEngines) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, stop := range f.stops {
+		stop()
+	}
+}
+
+// newFragileFixture returns a dispatcher with the given number of engines.
+func newFragileFixture(t *testing.T, count int) (*engineFixture, *fragileEngines) {
+	t.Helper()
+	ef, f := newEngineFixture(t), &fragileEngines{}
+	ctx, cancel := context.WithCancel(context.Background())
+	ef.stops = append(ef.stops, cancel, f.close)
+	s := &fpstate.Snapshot{View: fproute.View{Zone: "z", Hosts: 1}}
+	for i := range count {
+		name, address := fmt.Sprint("f", i), fmt.Sprintf("10.2.0.%d:80", i)
+		e := fpstandin.NewEngine(fpstandin.EngineSettings{Name: name, Model: "tutor", Weights: "1", Capacity: fpengine.Settings{}})
+		go func() { _ = e.Run(ctx) }()
+		f.serve(ef, address, e.Handler())
+		s.View.Replicas = append(s.View.Replicas, fproute.Replica{
+			Name: name, Address: address, Incarnation: 1, Zone: "z", Model: "tutor", Weights: "1", PrefillRate: 20_000,
+		})
+	}
+	ef.state.Publish(s)
+	return ef, f
+}
+
+func (ef *engineFixture) sendPassage(id, passage string) RequestResult {
+	q := AdmittedRequest{Team: "t", RequestID: id, ReceivedAt: time.Now(), Deadline: time.Now()}
+	req := fpchat.Request{Model: "tutor", MaxTokens: 8, Messages: []fpchat.Message{
+		{Role: "system", Content: strings.Repeat("manual ", 300)}, {Role: "user", Content: passage}, {Role: "user", Content: "why " + id},
+	}}
+	return ef.dispatcher.DispatchChat(context.Background(), q, req, fpconfig.Model{Name: "tutor", Weights: "1"}, &collector{})
+}
+
+// TestDeadlyPromptEndsEngineAfterEngine sends prompts that crash each engine amid harmless ones that
+// share their first part, and checks that one request takes few engines, that soon none reaches an
+// engine, and that the harmless ones are served.
+func TestDeadlyPromptEndsEngineAfterEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ef, f := newFragileFixture(t, 12)
+		defer ef.close()
+		ef.sendPassage("first", deadlyText)
+		is.True(len(f.arrivals) <= maxCrashesPerRequest)
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		served, sent := 0, 0
+		began := time.Now()
+		for i := range 400 {
+			wg.Go(func() {
+				r := ef.sendPassage(fmt.Sprint("h", i), fmt.Sprint("passage ", i%20))
+				mu.Lock()
+				defer mu.Unlock()
+				if time.Since(began) > 10*time.Second {
+					sent++
+					if r.Outcome.Kind() == fpoutcome.Complete {
+						served++
+					}
+				}
+			})
+			if i%10 == 0 {
+				wg.Go(func() { ef.sendPassage(fmt.Sprint("d", i), deadlyText) })
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		wg.Wait()
+		f.mu.Lock()
+		late := 0
+		if len(f.arrivals) >= deadlyCrashes {
+			for _, at := range f.arrivals {
+				if at.After(f.arrivals[deadlyCrashes-1].Add(deadlyReaction)) {
+					late++
+				}
+			}
+		}
+		t.Logf("%d deadly requests reached engines, %d late; %d of %d harmless served", len(f.arrivals), late, served, sent)
+		f.mu.Unlock()
+		is.True(late <= maxLateArrivals)
+		is.True(sent > 0 && served == sent)
+	})
+}
--- a/pkg/fpquarantine/tracker.go
+++ b/pkg/fpquarantine/tracker.go
@@ -84,6 +84,15 @@
 	return &Tracker{answered: make(map[string]time.Duration), quarantined: make(map[string]time.Duration)}
 }
 
+// IDs returns the IDs of parts.
+func IDs(parts []Part) []string {
+	ids := make([]string, 0, len(parts))
+	for _, p := range parts {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
 // RecordCrash records that a replica crashed at a time and broke off requests with the given parts. A
 // report about a known crash adds its parts. It returns the IDs of the parts that have been answered
 // since, which clears them.
