Limits that replicas name are read and logged

The logs could not tell whether no answer had named it, whether it was not read, or whether each host took the whole for itself: nothing read the header or wrote of it.

Nothing is limited yet: with this the first hypothesis stands, no code read the header.

--- a/internal/fpgateway/crash_test.go
+++ b/internal/fpgateway/crash_test.go
@@ -57,3 +57,5 @@
 func withPrompt(parts string) func(*http.Request) {
 	return func(q *http.Request) { q.Header.Set("Prompt-Prefix", parts) }
 }
+
+func countLines(text string) int { return strings.Count(text, "\n") }
--- a/internal/fpgateway/dialect.go
+++ b/internal/fpgateway/dialect.go
@@ -98,6 +98,10 @@
 		Running int
 		Waiting int
 		Slots   int
+		// HasLimit says that the replica names a limit, and Limit is the number of requests a second
+		// that it takes from all hosts together.
+		HasLimit bool
+		Limit    float64
 		// Version is that of the weights, 0 when not reported.
 		Version int64
 		// Encoded says that the body has a content encoding, so that its bytes are not the
--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -236,7 +236,7 @@
 	}
 	q.sends++
 	reply := g.dialect.DecodeReply(a.Status, a.Header)
-	q.recordReply(c, reply)
+	q.recordReply(c, reply, sentAt)
 	// On a kept connection, a rejection without an ID may be a late one of the request before.
 	if reply.NotRun && (reply.ID == q.caller.ID || a.NewConnection) {
 		return q.handleNotRun(c, a, reply)
@@ -297,9 +297,10 @@
 	}
 }
 
-// recordReply records the load and the weights version that a reply reports.
-func (q *request) recordReply(c fpbalance.Choice, r Reply) {
+// recordReply records the load, the limit and the weights version that a reply reports.
+func (q *request) recordReply(c fpbalance.Choice, r Reply, sentAt time.Duration) {
 	g := q.gateway
+	q.recordLimit(c.Replica.ID, r, sentAt)
 	if r.HasLoad {
 		g.mu.Lock()
 		g.balancer.RecordLoadReport(c.Replica.ID, r.Running, r.Waiting, g.clock())
@@ -310,6 +311,24 @@
 	}
 }
 
+// recordLimit records the limit that a reply names, or that it names none. A rejection that names none
+// tells nothing.
+func (q *request) recordLimit(id string, r Reply, sentAt time.Duration) {
+	g := q.gateway
+	changed := false
+	g.mu.Lock()
+	switch {
+	case r.HasLimit:
+		changed = g.balancer.RecordLimit(id, r.Limit, g.clock())
+	case !r.NotRun:
+		changed = g.balancer.RecordNoLimit(id, sentAt)
+	}
+	g.mu.Unlock()
+	if changed {
+		g.log("replica limit changed", "Replica", id, "Named", r.HasLimit, "Limit", r.Limit, "RequestID", q.caller.ID, "NotRun", r.NotRun)
+	}
+}
+
 // handleNotRun handles an answer that says that the replica did not run the request.
 func (q *request) handleNotRun(c fpbalance.Choice, a *fpconn.Response, r Reply) attemptResult {
 	g := q.gateway
--- a/internal/fpgateway/log.go
+++ b/internal/fpgateway/log.go
@@ -74,8 +74,9 @@
 // updateFigureMetrics updates the metrics of the learnt figures.
 func (g *Gateway) updateFigureMetrics() {
 	g.mu.Lock()
-	figures, refused := g.balancer.ServiceFigures(), g.balancer.RefusedSamples()
+	figures, refused, limited := g.balancer.ServiceFigures(), g.balancer.RefusedSamples(), g.balancer.LimitedReplicas()
 	g.mu.Unlock()
+	g.metrics.SetGauge("limited_replicas", float64(limited))
 	for service, f := range figures {
 		g.metrics.SetGauge(fmt.Sprintf("estimated_tokens_per_second{service=%q}", service), f.TokensPerSecond)
 		g.metrics.SetGauge(fmt.Sprintf("estimated_fixed_seconds{service=%q}", service), f.FixedSeconds)
--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -396,6 +396,37 @@
 	l.reportedRunning, l.reportedWaiting, l.reportedAt, l.sentSinceReport = running, waiting, now, 0
 }
 
+// RecordLimit records the limit that a replica names, in requests a second of all hosts together, and
+// reports whether it is another one than before.
+func (b *Balancer) RecordLimit(id string, rate float64, now time.Duration) bool {
+	l := b.loadOf(id)
+	changed := !l.limit.named || l.limit.rate != rate
+	l.limit = namedLimit{named: true, rate: rate, namedAt: now}
+	return changed
+}
+
+// RecordNoLimit records an answer that names no limit to a request sent at a time. It reports whether
+// that ends a limit: one that was named after the request was sent holds on.
+func (b *Balancer) RecordNoLimit(id string, sentAt time.Duration) bool {
+	l := b.loadOf(id)
+	if !l.limit.named || l.limit.namedAt >= sentAt {
+		return false
+	}
+	l.limit = namedLimit{}
+	return true
+}
+
+// LimitedReplicas returns the number of replicas that name a limit.
+func (b *Balancer) LimitedReplicas() int {
+	n := 0
+	for _, l := range b.loads {
+		if l.limit.named {
+			n++
+		}
+	}
+	return n
+}
+
 // ForgetReplica drops the load and cache state of a replica that is gone or has restarted.
 func (b *Balancer) ForgetReplica(id string) {
 	delete(b.loads, id)
--- a/pkg/fpbalance/load.go
+++ b/pkg/fpbalance/load.go
@@ -53,10 +53,18 @@
 		// drainRatio is the ratio of the rate at which the known queue becomes shorter and the engine's,
 		// 0 before the first sample.
 		drainRatio float64
+		limit      namedLimit
 		// peerRequests holds, by ID, the requests of other hosts that have no first byte yet.
 		peerRequests map[string]peerRequest
 	}
 
+	// namedLimit is the limit that a replica last named, in requests a second of all hosts together.
+	namedLimit struct {
+		named   bool
+		rate    float64
+		namedAt time.Duration
+	}
+
 	// peerRequest is a request that another host sent to the replica.
 	peerRequest struct {
 		tokens     int
