Hosts share the limit that a replica names, and stay within it together

Cause: no code read the limit. A replica's load decides by queues, which tell how much it has, not how much it will take; and what one host hears is no bound for the sum of all. Class: back pressure that is not followed, and a bound of the whole fleet kept by nobody.

Change: each host takes an equal share of the limit and spaces its requests by it (fplimit.Pace): at any time at most one request ahead, with a bounded number of sharing hosts, chosen by rendezvous hash, so that a low limit holds in a large fleet too. The wait for a place counts in the choice of the replica, so work goes elsewhere; a request waits at most its objective, and while all replicas name limits the rest is refused as not run at once, with the time until there is room. Hosts tell each other of limits and their ends; a limit ends with an answer, to a request sent after it was named, that names none.

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -65,12 +65,7 @@
 	g := q.gateway
 	for {
 		q.snapshot = g.snapshot.Load()
-		if d := q.checkKeyAgain(); d != nil {
-			q.refuseForKey(d)
-			return
-		}
-		if part, remaining := g.quarantinedPart(q.sharedParts); part != "" {
-			q.failRequest("prompt part "+part+" crashes replicas", remaining)
+		if !q.maySend() {
 			return
 		}
 		if q.sends >= maxSends || len(q.triedReplicas) >= maxReplicasTried || q.runs >= q.route.MaxAttempts {
@@ -83,6 +78,9 @@
 			return
 		}
 		q.choice = c
+		if !q.awaitLimit(ctx, c) {
+			return
+		}
 		if q.tryReplica(ctx, c) == requestDone {
 			return
 		}
@@ -93,6 +91,19 @@
 	}
 }
 
+// maySend reports whether the request may be sent to a replica now, and ends it if not.
+func (q *request) maySend() bool {
+	if d := q.checkKeyAgain(); d != nil {
+		q.refuseForKey(d)
+		return false
+	}
+	if part, remaining := q.gateway.quarantinedPart(q.sharedParts); part != "" {
+		q.failRequest("prompt part "+part+" crashes replicas", remaining)
+		return false
+	}
+	return true
+}
+
 // refuseForKey ends a request whose key no longer allows it. The status says so only if the request
 // has not run.
 func (q *request) refuseForKey(d *rejection) {
@@ -300,7 +311,7 @@
 // recordReply records the load, the limit and the weights version that a reply reports.
 func (q *request) recordReply(c fpbalance.Choice, r Reply, sentAt time.Duration) {
 	g := q.gateway
-	q.recordLimit(c.Replica.ID, r, sentAt)
+	g.recordLimit(c.Replica.ID, r, sentAt)
 	if r.HasLoad {
 		g.mu.Lock()
 		g.balancer.RecordLoadReport(c.Replica.ID, r.Running, r.Waiting, g.clock())
@@ -311,24 +322,6 @@
 	}
 }
 
-// recordLimit records the limit that a reply names, or that it names none. A rejection that names none
-// tells nothing.
-func (q *request) recordLimit(id string, r Reply, sentAt time.Duration) {
-	g := q.gateway
-	changed := false
-	g.mu.Lock()
-	switch {
-	case r.HasLimit:
-		changed = g.balancer.RecordLimit(id, r.Limit, g.clock())
-	case !r.NotRun:
-		changed = g.balancer.RecordNoLimit(id, sentAt)
-	}
-	g.mu.Unlock()
-	if changed {
-		g.log("replica limit changed", "Replica", id, "Named", r.HasLimit, "Limit", r.Limit, "RequestID", q.caller.ID, "NotRun", r.NotRun)
-	}
-}
-
 // handleNotRun handles an answer that says that the replica did not run the request.
 func (q *request) handleNotRun(c fpbalance.Choice, a *fpconn.Response, r Reply) attemptResult {
 	g := q.gateway
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -87,6 +87,8 @@
 		// brokenReplicas holds the replicas that broke off answers, by ID.
 		brokenReplicas map[string]*brokenReplica
 		quarantine     *quarantine
+		// limitsAnnouncedAt holds when this host last told the others of a replica's limit.
+		limitsAnnouncedAt map[string]time.Duration
 	}
 )
 
@@ -111,6 +113,8 @@
 
 		brokenReplicas: make(map[string]*brokenReplica),
 		quarantine:     newQuarantine(),
+
+		limitsAnnouncedAt: make(map[string]time.Duration),
 	}
 	g.pool = fpconn.NewPool(p.Clock, func(string) { g.metrics.AddToCounter("upstream_connections", 1) })
 	g.answerMemory = fpconn.NewBudget(max(int64(float64(s.MemoryBytes)*answerMemoryShare), minAnswerMemoryBytes))
--- a/internal/fpgateway/limit_test.go
+++ b/internal/fpgateway/limit_test.go
@@ -72,8 +72,9 @@
 }
 
 // sendSteadily sends requests of a route to hosts in turn until the returned function is called, which
-// returns how many were answered with success, and how many were not, from a time on.
-func sendSteadily(hosts []*testCluster, route string, from time.Time) func() (served, failed int) {
+// returns how many were answered with success, and how many were not, from a time on. The requests are
+// numbered from first.
+func sendSteadily(hosts []*testCluster, route string, first int, from time.Time) func() (served, failed int) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	served, failed := 0, 0
@@ -81,7 +82,7 @@
 	wg.Go(func() {
 		tick := time.NewTicker(trafficInterval)
 		defer tick.Stop()
-		for i := 0; ; i++ {
+		for i := first; ; i++ {
 			select {
 			case <-stop:
 				return
@@ -126,7 +127,7 @@
 			limited := replicas[0]
 			limited.SetLimit(fmt.Sprint(namedLimit))
 			from := time.Now().Add(limitReaction)
-			stop := sendSteadily([]*testCluster{tc, other}, route, from)
+			stop := sendSteadily([]*testCluster{tc, other}, route, 0, from)
 			fpclock.Sleep(context.Background(), limitReaction+limitWindow+2*time.Second)
 			served, failed := stop()
 			most := mostInWindow(runTimes(limited), from)
@@ -138,10 +139,52 @@
 
 			limited.SetLimit("")
 			before := len(limited.ExecutedRequests())
-			stop = sendSteadily([]*testCluster{tc, other}, route, time.Now())
+			stop = sendSteadily([]*testCluster{tc, other}, route, 1_000_000, time.Now())
 			fpclock.Sleep(context.Background(), 3*time.Second)
 			stop()
 			is.True(float64(len(limited.ExecutedRequests())-before) > 2*3*namedLimit)
 		})
 	}
 }
+
+// TestLimitsOfAllReplicas checks that while all replicas of a service name limits, what they allow is
+// served and the rest is refused as not run at once, with a time to come back.
+func TestLimitsOfAllReplicas(t *testing.T) {
+	const limit, requests = 10.0, 120
+	is := is.New(t)
+	tc := newTestCluster(t)
+	for _, r := range tc.serviceReplicas {
+		r.SetLimit(fmt.Sprint(limit))
+	}
+	began := time.Now()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	served, refused := 0, 0
+	for i := range requests {
+		wg.Go(func() {
+			sentAt := time.Now()
+			r := tc.sendNumberedRequest("call", i)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case r.err == nil && r.status == http.StatusOK:
+				served++
+			case r.err == nil && r.status == http.StatusServiceUnavailable && r.header.Get("Retry-After") != "":
+				refused++
+				if took := time.Since(sentAt); took > 200*time.Millisecond {
+					t.Errorf("refused after %v", took)
+				}
+			default:
+				t.Errorf("status %d, %v", r.status, r.err)
+			}
+		})
+		fpclock.Sleep(context.Background(), 25*time.Millisecond)
+	}
+	wg.Wait()
+	is.Equal(served+refused, requests)
+	is.Equal(len(tc.allRuns()), served)
+	expected := 2 * limit * time.Since(began).Seconds()
+	is.True(float64(served) >= 0.7*expected)
+	is.True(float64(served) <= limitTolerance*expected+2*limitSlack)
+	is.True(refused > 0)
+}
--- a/internal/fpgateway/log.go
+++ b/internal/fpgateway/log.go
@@ -101,4 +101,5 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.balancer.ForgetReplica(id)
+	delete(g.limitsAnnouncedAt, id)
 }
--- a/internal/fpgateway/peers.go
+++ b/internal/fpgateway/peers.go
@@ -88,6 +88,9 @@
 	if p := n.Quarantined; p != nil {
 		g.quarantinePart(p.ID, n.Host)
 	}
+	if l := n.Limit; l != nil {
+		g.handleLimitNotice(l, n.Host)
+	}
 	if c := n.Cache; c != nil {
 		g.handleCacheNotice(c)
 		if c.Relay {
--- a/internal/fpgateway/state_test.go
+++ b/internal/fpgateway/state_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"math"
+	"strconv"
 	"testing"
 	"time"
 
@@ -72,3 +74,24 @@
 	// A host without an entry in the store counts itself.
 	is.Equal(len(zoneReaders(first[0], "zone", []string{first[1]})), 0)
 }
+
+// TestLimitSharesOfHosts checks that the shares of all hosts add up to a replica's limit, in fleets of
+// any size, and that a host that is not listed yet takes no more than one of those.
+func TestLimitSharesOfHosts(t *testing.T) {
+	for _, hosts := range []int{1, 6, 9, 880} {
+		t.Run(strconv.Itoa(hosts), func(t *testing.T) {
+			is := is.New(t)
+			s := &snapshot{}
+			for i := range hosts {
+				s.hostNames = append(s.hostNames, "host-"+strconv.Itoa(i))
+			}
+			sum, largest := 0.0, 0.0
+			for _, name := range s.hostNames {
+				share := s.limitShare(name, "replica", 3.7)
+				sum, largest = sum+share, max(largest, share)
+			}
+			is.True(math.Abs(sum-3.7) < 1e-9)
+			is.True(s.limitShare("new", "replica", 3.7) <= largest)
+		})
+	}
+}
--- a/internal/fpnotice/notice.go
+++ b/internal/fpnotice/notice.go
@@ -94,6 +94,14 @@
 		ID string
 	}
 
+	// ReplicaLimit reports the limit that a replica names, in requests a second of all hosts together,
+	// or that it names none.
+	ReplicaLimit struct {
+		Replica string
+		Named   bool    `json:",omitempty"`
+		Rate    float64 `json:",omitempty"`
+	}
+
 	// Notice is the content of one datagram; Host is its sender. RelayInZone asks the receiver to
 	// forward the notice to the other hosts of its availability zone.
 	Notice struct {
@@ -109,6 +117,7 @@
 		Crash       *ReplicaCrash    `json:",omitempty"`
 		Answered    *PartsAnswered   `json:",omitempty"`
 		Quarantined *PartQuarantined `json:",omitempty"`
+		Limit       *ReplicaLimit    `json:",omitempty"`
 	}
 
 	// Socket sends and receives notices over UDP.
--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuepoint/fescuepoint/pkg/fpestimate"
+	"github.com/fescuepoint/fescuepoint/pkg/fplimit"
 	"github.com/fescuepoint/fescuepoint/pkg/fproute"
 )
 
@@ -112,11 +113,17 @@
 func (b *Balancer) lowestScore(replicas []Replica, q Request, link Link, now time.Duration) (Choice, error) {
 	owner := b.rendezvousOwner(replicas, q)
 	best := Choice{Score: -1}
+	shortestWait := fplimit.NoShare
+	limited := false
 	for _, r := range replicas {
 		if r.Loading || slices.Contains(q.ExcludedReplicas, r.ID) ||
 			!b.loadOf(r.ID).circuit.AllowsDispatch(time.Unix(0, int64(now))) {
 			continue
 		}
+		if wait := b.loadOf(r.ID).limitWait(now); wait > q.maxLimitWait() {
+			limited, shortestWait = true, min(shortestWait, wait)
+			continue
+		}
 		c := b.scoreReplica(replicas, r, q, link, r.ID == owner, now)
 		if !q.mayBegin(c) {
 			continue
@@ -126,6 +133,8 @@
 		}
 	}
 	switch {
+	case best.Score < 0 && limited:
+		return Choice{PredictedWait: min(shortestWait, fplimit.ProbeInterval)}, ErrLimited
 	case best.Score < 0:
 		return best, ErrNoReplica
 	case best.PredictedWait > q.TimeToDeadline:
@@ -134,6 +143,15 @@
 	return best, nil
 }
 
+// maxLimitWait returns how long the request may wait for a share of a replica's limit: at most its
+// objective, if it has one.
+func (q Request) maxLimitWait() time.Duration {
+	if q.Objective > 0 {
+		return min(q.Objective, q.TimeToDeadline)
+	}
+	return q.TimeToDeadline
+}
+
 // mayBegin reports whether the request would begin at the chosen replica while it may still use the
 // replica's weights, also if it waits longer than predicted.
 func (q Request) mayBegin(c Choice) bool {
@@ -187,8 +205,8 @@
 // scoreReplica returns the choice of replica r with its predicted wait and score; isOwner says that
 // r is the rendezvous hash owner of the prompt.
 func (b *Balancer) scoreReplica(replicas []Replica, r Replica, q Request, link Link, isOwner bool, now time.Duration) Choice {
-	c := Choice{Replica: r, Rank: q.rankFor(0)}
 	l := b.loadOf(r.ID)
+	c := Choice{Replica: r, Rank: q.rankFor(0), LimitWait: l.limitWait(now)}
 	c.RoundTripSeconds = b.roundTripSeconds(r)
 	seconds := c.RoundTripSeconds + l.decayedExcessDelay(now)
 	if !r.Engine {
@@ -229,10 +247,11 @@
 	return c.withScore(seconds, max(cost, 0))
 }
 
-// withScore returns the choice with its wait, and its score as the sum of wait and cost.
+// withScore returns the choice with its wait, and its score as the sum of wait and cost; seconds is the
+// wait at the replica.
 func (c Choice) withScore(seconds, cost float64) Choice {
-	c.PredictedWait = time.Duration(seconds * float64(time.Second))
-	c.Score = seconds + cost
+	c.PredictedWait = c.LimitWait + time.Duration(seconds*float64(time.Second))
+	c.Score = c.LimitWait.Seconds() + seconds + cost
 	return c
 }
 
@@ -335,6 +354,9 @@
 	l.ownRequests++
 	l.sentSinceReport++
 	l.circuit.RecordDispatch()
+	if l.limit.named {
+		l.limit.pace.Reserve(now)
+	}
 	if !c.Replica.Engine {
 		return
 	}
@@ -356,7 +378,7 @@
 	l := b.loadOf(c.Replica.ID)
 	l.removeUnstarted(c)
 	if !c.Replica.Engine {
-		l.updateExcessDelay((waited - c.PredictedWait).Seconds(), now)
+		l.updateExcessDelay((waited + c.LimitWait - c.PredictedWait).Seconds(), now)
 		b.learnFromPlain(c, waited.Seconds())
 	} else if c.Rank < ShortLateRank {
 		b.learnFromEngine(c, waited.Seconds(), now)
@@ -397,11 +419,12 @@
 }
 
 // RecordLimit records the limit that a replica names, in requests a second of all hosts together, and
-// reports whether it is another one than before.
-func (b *Balancer) RecordLimit(id string, rate float64, now time.Duration) bool {
+// this host's share of it. It reports whether it is another limit than before.
+func (b *Balancer) RecordLimit(id string, rate, share float64, now time.Duration) bool {
 	l := b.loadOf(id)
 	changed := !l.limit.named || l.limit.rate != rate
-	l.limit = namedLimit{named: true, rate: rate, namedAt: now}
+	l.limit.named, l.limit.rate, l.limit.namedAt = true, rate, now
+	l.limit.pace.SetShare(share, now)
 	return changed
 }
 
--- a/pkg/fpbalance/load.go
+++ b/pkg/fpbalance/load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fescuepoint/fescuepoint/pkg/fplimit"
 	"github.com/fescuepoint/fescuepoint/pkg/fproute"
 )
 
@@ -63,6 +64,7 @@
 		named   bool
 		rate    float64
 		namedAt time.Duration
+		pace    fplimit.Pace
 	}
 
 	// peerRequest is a request that another host sent to the replica.
@@ -73,6 +75,14 @@
 	}
 )
 
+// limitWait returns how long a request has to wait for this host's share of the replica's limit.
+func (l *replicaLoad) limitWait(now time.Duration) time.Duration {
+	if !l.limit.named {
+		return 0
+	}
+	return l.limit.pace.Wait(now)
+}
+
 // outstandingRequests returns the estimated number of requests at the replica, from its last report
 // and this host's own requests.
 func (l *replicaLoad) outstandingRequests(now time.Duration) float64 {
--- a/pkg/fpbalance/types.go
+++ b/pkg/fpbalance/types.go
@@ -10,6 +10,9 @@
 	// ErrNoReplica is returned when every replica of the service is excluded, loading, too old or
 	// failing.
 	ErrNoReplica = errors.New("no replica of the service may be used")
+	// ErrLimited is returned when the limits that the replicas name leave no room for the request soon;
+	// the choice's predicted wait is the time until they do.
+	ErrLimited = errors.New("the limits of all replicas are used up")
 	// ErrDeadlineInfeasible is returned when the chosen replica would answer after the deadline.
 	ErrDeadlineInfeasible = errors.New("no replica would answer in the time that is left")
 )
@@ -119,7 +122,9 @@
 		// Rank is the priority sent to the replica. It is one of the late ranks when the first token
 		// is predicted to come after the objective.
 		Rank int
-		// PredictedWait is the predicted time to the first byte of the answer.
+		// LimitWait is the time to wait before the request is sent, for the replica's limit.
+		LimitWait time.Duration
+		// PredictedWait is the predicted time to the first byte of the answer, LimitWait included.
 		PredictedWait time.Duration
 		// Score is the predicted wait plus the costs of the choice, in seconds; the lowest wins.
 		Score float64
--- a/pkg/fproute/rendezvous.go
+++ b/pkg/fproute/rendezvous.go
@@ -33,6 +33,18 @@
 	return best
 }
 
+// RendezvousRank returns the number of names with a higher rendezvous hash for key than the given name.
+func RendezvousRank(key, name string, names []string) int {
+	keyHash := xxhash.Sum64String(key)
+	own, rank := mixHashes(keyHash, xxhash.Sum64String(name)), 0
+	for _, n := range names {
+		if n != name && mixHashes(keyHash, xxhash.Sum64String(n)) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // nameHash returns the hash of the replica's name, its input to rendezvous hashing.
 func (r *Replica) nameHash() uint64 {
 	if r.Hash != 0 {
