A part is not convicted by replicas that fail together or for other reasons

Cause: three crashes anywhere within a minute were enough. Where a third or all of the replicas are lost at the same moment, a rarely used part is at one of them by chance, and so it is at the next loss, before any of its requests was answered.

Change: a failure speaks only against parts that were at three quarters of its crashes; a part must have been at four failures, and at 0.4 of all since its first.

--- a/pkg/fpquarantine/tracker.go
+++ b/pkg/fpquarantine/tracker.go
@@ -13,8 +13,13 @@
 	// minEpisodes is the least number of separate failures that convict a part. The crashes within
 	// episodeLength of the first one count as one failure, since a loss of power or of a network
 	// takes many replicas at the same time.
-	minEpisodes   = 3
+	minEpisodes   = 4
 	episodeLength = 500 * time.Millisecond
+	// minEpisodeShare is the least share of all failures since the part's first at which it was: a part
+	// that comes along with replicas that fail for another reason misses most of them.
+	minEpisodeShare = 0.4
+	// minCrashShare is the least share of a failure's crashes at which a part must have been.
+	minCrashShare = 0.75
 	// settleTime is the time after the last of these failures in which another host may report an
 	// answer that clears the part.
 	settleTime = 300 * time.Millisecond
@@ -23,7 +28,7 @@
 	minOtherAnswers = 3
 	// tieCrashes is the number of crashes from which one of several parts with the same evidence is
 	// convicted.
-	tieCrashes = 4
+	tieCrashes = 5
 	// evidenceTTL is how long a crash counts.
 	evidenceTTL = time.Minute
 	// mergeTime is the time in which reports of a replica's crash are about the same crash.
@@ -67,13 +72,21 @@
 		explained bool
 	}
 
+	// episode is a failure: the unexplained crashes within episodeLength of its first.
+	episode struct {
+		startsAt time.Duration
+		crashes  []*crash
+	}
+
 	// suspect is the evidence against a part.
 	suspect struct {
-		id            string
-		depth         int
-		crashes       int
-		episodes      int
-		episodeStart  time.Duration
+		id      string
+		depth   int
+		crashes int
+		// firstEpisode and episodes are the first failure that speaks against the part and their number.
+		firstEpisode int
+		episodes     int
+		// sufficientAt and answersBefore belong to the failure that completed minEpisodes.
 		sufficientAt  time.Duration
 		answersBefore int
 	}
@@ -175,7 +188,7 @@
 func (t *Tracker) Convict(now time.Duration) []string {
 	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return now-c.at > evidenceTTL })
 	var convicted []string
-	for len(t.crashes) >= minEpisodes {
+	for {
 		s, ok := t.primeSuspect()
 		if !ok || now < s.sufficientAt+settleTime || t.answers-s.answersBefore < minOtherAnswers || !t.Quarantine(s.id, now) {
 			break
@@ -190,7 +203,14 @@
 func (t *Tracker) primeSuspect() (suspect, bool) {
 	var best suspect
 	tied := false
-	for _, s := range t.suspects() {
+	episodes := t.episodes()
+	if len(episodes) < minEpisodes {
+		return best, false
+	}
+	for _, s := range suspects(episodes) {
+		if float64(s.episodes) < minEpisodeShare*float64(len(episodes)-s.firstEpisode) {
+			continue
+		}
 		switch {
 		case s.crashes > best.crashes:
 			best, tied = *s, false
@@ -204,25 +224,50 @@
 	return best, best.episodes >= minEpisodes && (!tied || best.crashes >= tieCrashes)
 }
 
-// suspects returns the evidence against each part that a crash speaks against.
-func (t *Tracker) suspects() map[string]*suspect {
-	out := make(map[string]*suspect)
+// episodes returns the failures that no part in quarantine explains, oldest first.
+func (t *Tracker) episodes() []episode {
+	var out []episode
 	for _, c := range t.crashes {
-		for id, depth := range c.depths {
+		if c.explained {
+			continue
+		}
+		if n := len(out); n == 0 || c.at-out[n-1].startsAt >= episodeLength {
+			out = append(out, episode{startsAt: c.at})
+		}
+		e := &out[len(out)-1]
+		e.crashes = append(e.crashes, c)
+	}
+	return out
+}
+
+// suspects returns the evidence against each part. A failure speaks against the parts that were at
+// most of its crashes: where many replicas are lost at the same time, some part is at one of them by
+// chance.
+func suspects(episodes []episode) map[string]*suspect {
+	out := make(map[string]*suspect)
+	for i, e := range episodes {
+		crashes, depths := make(map[string]int), make(map[string]int)
+		for _, c := range e.crashes {
+			for id, depth := range c.depths {
+				crashes[id]++
+				depths[id] = max(depths[id], depth)
+			}
+		}
+		for id, n := range crashes {
+			if float64(n) < minCrashShare*float64(len(e.crashes)) {
+				continue
+			}
 			s := out[id]
 			if s == nil {
-				s = &suspect{id: id}
+				s = &suspect{id: id, firstEpisode: i}
 				out[id] = s
 			}
-			s.depth = max(s.depth, depth)
-			s.crashes++
-			if s.episodes > 0 && c.at-s.episodeStart < episodeLength {
-				continue
-			}
+			s.depth = max(s.depth, depths[id])
+			s.crashes += n
 			s.episodes++
-			s.episodeStart = c.at
 			if s.episodes == minEpisodes {
-				s.sufficientAt, s.answersBefore = c.at, c.answersBefore
+				last := e.crashes[len(e.crashes)-1]
+				s.sufficientAt, s.answersBefore = last.at, last.answersBefore
 			}
 		}
 	}
