Own interface: hosts tell each other which prompt parts crash upstreams

A host that had convicted a part kept it to itself: callers of every other host, and of those that start later, went on ending upstreams until each had judged by itself. On the platform the store tells them; the own interface has none of its own for it.

Heartbeats carry the latest eight parts in quarantine with their age, in a field that older hosts ignore; a receiver keeps a part for the rest of its ten minutes, so that hosts do not keep it alive among themselves.

Tests: TestAdopt, TestRefusesPartsConvictedElsewhere, TestQuarantinedPartsSurviveEncoding, and in TestHost a part of another host's heartbeat is refused and passed on.

--- a/internal/fpdispatch/quarantine.go
+++ b/internal/fpdispatch/quarantine.go
@@ -58,3 +58,21 @@
 	}
 	return d.quarantine.Find(fpquarantine.IDs(parts), now)
 }
+
+// QuarantinedParts returns the parts of prompts that crash upstreams, the latest first and at most the
+// given number, to be told to other hosts.
+func (d *Dispatcher) QuarantinedParts(most int) []fpquarantine.Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	entries := d.quarantine.Entries(time.Since(d.startedAt))
+	return entries[:min(len(entries), most)]
+}
+
+// AdoptQuarantinedParts takes over the parts of prompts that another host convicted.
+func (d *Dispatcher) AdoptQuarantinedParts(entries []fpquarantine.Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range entries {
+		d.quarantine.Adopt(e, time.Since(d.startedAt))
+	}
+}
--- a/internal/fpdispatch/quarantine_test.go
+++ b/internal/fpdispatch/quarantine_test.go
@@ -20,6 +20,7 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpstate"
 	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
 	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
+	"github.com/fescuepoint/fescuepoint/pkg/fpquarantine"
 	"github.com/fescuepoint/fescuepoint/pkg/fproute"
 )
 
@@ -151,3 +152,21 @@
 		is.True(sent > 0 && served == sent)
 	})
 }
+
+// TestRefusesPartsConvictedElsewhere checks that a prompt with a part that another host convicted is refused
+// as not run, and that no engine gets it.
+func TestRefusesPartsConvictedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ef, f := newFragileFixture(t, 2)
+		defer ef.close()
+		parts := promptParts(fpchat.Request{Messages: []fpchat.Message{{Content: deadlyText}, {Content: "why"}}})
+		ef.dispatcher.AdoptQuarantinedParts([]fpquarantine.Entry{{ID: parts[0].ID, Age: time.Second}})
+		is.Equal(ef.sendPassage("deadly", deadlyText).Outcome.Kind(), fpoutcome.NotRun)
+		is.Equal(ef.sendPassage("harmless", "passage").Outcome.Kind(), fpoutcome.Complete)
+		is.Equal(len(f.arrivals), 0)
+		is.Equal(len(ef.dispatcher.QuarantinedParts(8)), 1)
+		time.Sleep(fpquarantine.Duration)
+		is.Equal(ef.sendPassage("later", deadlyText).Outcome.Kind(), fpoutcome.Failed)
+	})
+}
--- a/internal/fpgateway/quarantine.go
+++ b/internal/fpgateway/quarantine.go
@@ -180,7 +180,7 @@
 			answered = append(answered, id)
 		}
 		clear(g.quarantine.answered)
-		count := len(g.quarantine.tracker.Quarantined())
+		count := len(g.quarantine.tracker.Entries(now))
 		g.mu.Unlock()
 		peers := g.snapshot.Load().allPeers
 		for _, id := range convicted {
--- a/internal/fpgossip/fleet_test.go
+++ b/internal/fpgossip/fleet_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/fescuepoint/fescuepoint/internal/fpheap"
 	"github.com/fescuepoint/fescuepoint/pkg/fpmember"
+	"github.com/fescuepoint/fescuepoint/pkg/fpquarantine"
 )
 
 const (
@@ -285,3 +286,18 @@
 		})
 	}
 }
+
+// TestQuarantinedPartsSurviveEncoding checks that parts in quarantine reach other hosts with their age, and
+// that a full heartbeat fits into a datagram.
+func TestQuarantinedPartsSurviveEncoding(t *testing.T) {
+	is := is.New(t)
+	m := Message{Heartbeat: fpmember.Heartbeat{Member: fpmember.Member{Name: "a"}}}
+	for i := range 8 {
+		m.QuarantinedParts = append(m.QuarantinedParts, fpquarantine.Entry{ID: fmt.Sprintf("%016x", i), Age: time.Duration(i) * time.Second})
+	}
+	data := Encode(m, []byte("secret"))
+	is.True(len(data) <= MaxDatagramBytes/2)
+	got, err := Decode(data, []byte("secret"))
+	is.NoErr(err)
+	is.Equal(got.QuarantinedParts, m.QuarantinedParts)
+}
--- a/internal/fpgossip/gossip.go
+++ b/internal/fpgossip/gossip.go
@@ -16,6 +16,7 @@
 	"github.com/fescuepoint/fescuepoint/internal/fppeer/fppeerv1"
 	"github.com/fescuepoint/fescuepoint/pkg/fpmember"
 	"github.com/fescuepoint/fescuepoint/pkg/fpprefix"
+	"github.com/fescuepoint/fescuepoint/pkg/fpquarantine"
 	"github.com/fescuepoint/fescuepoint/pkg/fproute"
 )
 
@@ -39,6 +40,7 @@
 		Demands          []Demand
 		Shares           []Demand
 		Placements       []Placement
+		QuarantinedParts []fpquarantine.Entry
 	}
 
 	// Placement is a recent placement that a host sends to the other hosts of its zone. It identifies
@@ -165,6 +167,9 @@
 	for _, d := range m.Shares {
 		w.Shares = append(w.Shares, &fppeerv1.Share{Team: d.Team, Requests: float32(d.Requests), Tokens: float32(d.Tokens)})
 	}
+	for _, e := range m.QuarantinedParts {
+		w.QuarantinedParts = append(w.QuarantinedParts, &fppeerv1.QuarantinedPart{Id: e.ID, AgeMilliseconds: uint32(e.Age / time.Millisecond)})
+	}
 	for _, p := range m.Placements {
 		w.Placements = append(w.Placements, placementToWire(p))
 	}
@@ -219,6 +224,9 @@
 	for _, d := range w.GetShares() {
 		m.Shares = append(m.Shares, Demand{Team: d.GetTeam(), Requests: float64(d.GetRequests()), Tokens: float64(d.GetTokens())})
 	}
+	for _, p := range w.GetQuarantinedParts() {
+		m.QuarantinedParts = append(m.QuarantinedParts, fpquarantine.Entry{ID: p.GetId(), Age: time.Duration(p.GetAgeMilliseconds()) * time.Millisecond})
+	}
 	for _, p := range w.GetPlacements() {
 		m.Placements = append(m.Placements, placementFromWire(p))
 	}
--- a/internal/fphost/gossip.go
+++ b/internal/fphost/gossip.go
@@ -31,6 +31,8 @@
 	placementWireBytes = 48
 	// maxDemandsPerMessage keeps a datagram below fpgossip.MaxDatagramBytes.
 	maxDemandsPerMessage = 24
+	// maxQuarantinedPerMessage bounds the prompt parts that a heartbeat carries.
+	maxQuarantinedPerMessage = 8
 )
 
 // sendHeartbeats sends a heartbeat every fpmember.HeartbeatInterval.
@@ -62,6 +64,7 @@
 	return fpgossip.Message{
 		Heartbeat:        fpmember.Heartbeat{Member: c.members.Self(), Suspicions: c.members.Suspicions()},
 		LeavingUpstreams: c.leavingUpstreams(),
+		QuarantinedParts: h.dispatcher.QuarantinedParts(maxQuarantinedPerMessage),
 	}
 }
 
@@ -124,6 +127,7 @@
 	for _, s := range m.Shares {
 		h.setTeamShare(s.Team, fplimit.Rates{Requests: s.Requests, Tokens: s.Tokens})
 	}
+	h.dispatcher.AdoptQuarantinedParts(m.QuarantinedParts)
 	if len(m.Placements) > 0 {
 		h.recordPeerPlacements(m.Placements)
 		return
--- a/internal/fphost/host_test.go
+++ b/internal/fphost/host_test.go
@@ -12,20 +12,25 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpcaller"
 	"github.com/fescuepoint/fescuepoint/internal/fpchat"
+	"github.com/fescuepoint/fescuepoint/internal/fpgossip"
 	"github.com/fescuepoint/fescuepoint/internal/fpoperator"
 	"github.com/fescuepoint/fescuepoint/internal/fpsetting"
 	"github.com/fescuepoint/fescuepoint/internal/fpstandin"
 	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
+	"github.com/fescuepoint/fescuepoint/pkg/fpmember"
+	"github.com/fescuepoint/fescuepoint/pkg/fpquarantine"
 )
 
 const (
@@ -191,6 +196,17 @@
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	s := newTestSite(t)
 	t.Run("bad input", func(t *testing.T) { testBadInput(t, s) })
+	t.Run("prompt part convicted by another host", func(t *testing.T) {
+		is := is.New(t)
+		part := fpquarantine.Entry{ID: strconv.FormatUint(xxhash.Sum64String("deadly"), 16), Age: time.Second}
+		heartbeat := fpmember.Heartbeat{Member: fpmember.Member{Name: "entry-2", Zone: "z"}}
+		s.host.handleMessage(context.Background(), fpgossip.Message{Heartbeat: heartbeat, QuarantinedParts: []fpquarantine.Entry{part}})
+		res, _ := s.sendRequest(t, "/v1/chat/completions", teamKey, `{"model":"tutor","messages":[{"role":"system","content":"deadly"},{"role":"user","content":"why?"}]}`, nil)
+		is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+		told := make(chan []fpquarantine.Entry, 1)
+		s.host.controlLoop.submitTask(context.Background(), func(c *controlState) { told <- s.host.heartbeatMessage(c).QuarantinedParts })
+		is.Equal((<-told)[0].ID, part.ID)
+	})
 	t.Run("chat", func(t *testing.T) {
 		is := is.New(t)
 		res, body := s.sendRequest(t, "/v1/chat/completions", teamKey, `{"model":"tutor","messages":[{"role":"user","content":"why?"}]}`, nil)
--- a/pkg/fpquarantine/tracker.go
+++ b/pkg/fpquarantine/tracker.go
@@ -1,6 +1,7 @@
 package fpquarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -48,6 +49,12 @@
 		Depth int
 	}
 
+	// Entry is a part in quarantine; Age is the time since its conviction.
+	Entry struct {
+		ID  string
+		Age time.Duration
+	}
+
 	// Tracker holds the evidence of one host and the parts in quarantine. It is not safe for
 	// concurrent use.
 	Tracker struct {
@@ -274,13 +281,14 @@
 	return out
 }
 
-// Quarantine puts a part into quarantine, unless there are too many, and reports whether it was not.
+// Quarantine puts a part into quarantine from a time on, unless there are too many, and reports whether
+// it was not there before.
 // The crashes that the part explains no longer speak against other parts.
-func (t *Tracker) Quarantine(id string, now time.Duration) bool {
+func (t *Tracker) Quarantine(id string, since time.Duration) bool {
 	if _, ok := t.quarantined[id]; ok || len(t.quarantined) >= maxQuarantined {
 		return false
 	}
-	t.quarantined[id] = now
+	t.quarantined[id] = since
 	t.explainCrashes()
 	return true
 }
@@ -315,8 +323,22 @@
 	return out
 }
 
-// Quarantined returns the parts in quarantine, sorted.
-func (t *Tracker) Quarantined() []string { return slices.Sorted(maps.Keys(t.quarantined)) }
+// Adopt puts a part into quarantine that another host convicted, for the rest of its time.
+func (t *Tracker) Adopt(e Entry, now time.Duration) {
+	if e.Age < Duration {
+		t.Quarantine(e.ID, now-e.Age)
+	}
+}
+
+// Entries returns the parts in quarantine, the latest first.
+func (t *Tracker) Entries(now time.Duration) []Entry {
+	out := make([]Entry, 0, len(t.quarantined))
+	for id, since := range t.quarantined {
+		out = append(out, Entry{ID: id, Age: now - since})
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.ID, b.ID)) })
+	return out
+}
 
 // Find returns the first of the parts that is in quarantine, and for how much longer; it returns ""
 // if there is none.
--- a/pkg/fpquarantine/tracker_test.go
+++ b/pkg/fpquarantine/tracker_test.go
@@ -170,7 +170,7 @@
 			}
 			got = append(got, tr.Convict(12*second)...)
 			is.Equal(got, tt.want)
-			is.Equal(len(tr.Quarantined()), len(tt.want))
+			is.Equal(len(tr.Entries(12*second)), len(tt.want))
 		})
 	}
 }
@@ -220,6 +220,24 @@
 	is.Equal(id, "")
 }
 
+// TestAdopt checks that a part that another host convicted is kept for the rest of its time only, so that
+// hosts that tell each other do not keep it for ever.
+func TestAdopt(t *testing.T) {
+	is := is.New(t)
+	first, second := New(), New()
+	first.Quarantine("dead", 0)
+	for _, e := range first.Entries(Duration / 2) {
+		second.Adopt(e, time.Hour)
+	}
+	is.Equal(second.Entries(time.Hour), []Entry{{ID: "dead", Age: Duration / 2}})
+	is.Equal(second.Expired(time.Hour+Duration/2), []string{"dead"})
+	second.Release("dead")
+	for _, e := range first.Entries(Duration) {
+		second.Adopt(e, time.Hour+Duration/2)
+	}
+	is.Equal(len(second.Entries(time.Hour+Duration/2)), 0)
+}
+
 // TestBounds checks that evidence of any length takes bounded memory.
 func TestBounds(t *testing.T) {
 	is := is.New(t)
