A replica that breaks off again is probed again; shared parts are taken in one place

Found by reading the change: a probe that neither connects nor is refused left its entry for as long as answers broke off, and a crash after it was seen only when the replica's entry lapsed. The next broken attempt probes again now, one probe at a time. The parts that prompts may share are told by fpbalance.SharedParts, for the balancer and the gateway.

--- a/internal/fpgateway/crash.go
+++ b/internal/fpgateway/crash.go
@@ -32,6 +32,8 @@
 	// brokenReplica holds the attempts at a replica that ended without a complete answer.
 	brokenReplica struct {
 		attempts []brokenAttempt
+		// probed says that a connection is being opened to tell whether the replica crashed.
+		probed bool
 		// crashed says that the replica is proved to have crashed.
 		crashed bool
 	}
@@ -62,6 +64,9 @@
 	if b == nil {
 		b = &brokenReplica{}
 		g.brokenReplicas[r.ID] = b
+	}
+	if !b.probed && !b.crashed {
+		b.probed = true
 		time.AfterFunc(crashGatherTime, func() { g.probeBrokenReplica(r) })
 	}
 	if len(b.attempts) < maxBrokenAttempts {
@@ -90,16 +95,19 @@
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
 	err := g.pool.Probe(ctx, r.Address)
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
+	if errors.Is(err, syscall.ECONNREFUSED) {
 		g.markReplicaDown(r.ID)
 		g.recordCrash(r.ID, "connection refused")
-	case err == nil:
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		if b := g.brokenReplicas[r.ID]; b != nil && !b.crashed {
-			delete(g.brokenReplicas, r.ID)
-		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.brokenReplicas[r.ID]
+	if b == nil {
+		return
+	}
+	b.probed = false
+	if err == nil && !b.crashed {
+		delete(g.brokenReplicas, r.ID)
 	}
 }
 
@@ -143,11 +151,11 @@
 	return fmt.Sprint(out)
 }
 
-// sharedPartIDs returns the IDs of the parts of a prompt that other prompts may share: all but the
-// last.
+// sharedPartIDs returns the IDs of the parts of a prompt that other prompts may share.
 func sharedPartIDs(parts []fpbalance.Part) []string {
-	ids := make([]string, 0, len(parts))
-	for _, p := range parts[:max(len(parts)-1, 0)] {
+	shared := fpbalance.SharedParts(parts)
+	ids := make([]string, 0, len(shared))
+	for _, p := range shared {
 		ids = append(ids, p.ID)
 	}
 	return ids
--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -166,7 +166,7 @@
 // unless the shared parts are worth the way to another region, and empty if they are too short to
 // matter.
 func (b *Balancer) rendezvousOwner(replicas []Replica, q Request) string {
-	sharedTokens := sumTokens(q.sharedParts())
+	sharedTokens := sumTokens(SharedParts(q.Parts))
 	if sharedTokens == 0 || len(replicas) == 0 {
 		return ""
 	}
@@ -192,7 +192,7 @@
 // the shared tokens are reached. A part before it, which more prompts share, would give them all one
 // owner; a short one after it would spread those that share the most.
 func (q Request) ownerKey() string {
-	shared := q.sharedParts()
+	shared := SharedParts(q.Parts)
 	most, sum := ownerKeyShare*float64(sumTokens(shared)), 0
 	for _, p := range shared {
 		if sum += p.Tokens; float64(sum) >= most {
@@ -230,7 +230,7 @@
 	c.Rank = q.rankFor(float64(c.MissTokens) / rate)
 	c.StoreToFill = b.storeToFill(r, q, salt, now)
 	credit := 0.0
-	if isOwner && c.HitTokens+c.CopiedTokens < sumTokens(q.sharedParts()) {
+	if isOwner && c.HitTokens+c.CopiedTokens < sumTokens(SharedParts(q.Parts)) {
 		credit = ownerCreditWeight * float64(c.MissTokens) / rate
 	}
 	ahead := l.queuedTokensUpTo(c.Rank, now) + l.startedTokensBelow(c.Rank, rate, now)
@@ -293,7 +293,7 @@
 // storeToFill returns the first store in the region of replica r that lacks some of the request's
 // shared parts, or nil.
 func (b *Balancer) storeToFill(r Replica, q Request, salt string, now time.Duration) *CacheStore {
-	shared := q.sharedParts()
+	shared := SharedParts(q.Parts)
 	if float64(sumTokens(shared)) < minTransferSeconds*b.figuresOf(r.Service).rate() {
 		return nil
 	}
@@ -305,9 +305,9 @@
 	return nil
 }
 
-// sharedParts returns the parts that other prompts may share: all but the last, which is the
-// request's own.
-func (q Request) sharedParts() []Part { return q.Parts[:max(len(q.Parts)-1, 0)] }
+// SharedParts returns the parts of a prompt that other prompts may share: all but the last, which is
+// the request's own.
+func SharedParts(parts []Part) []Part { return parts[:max(len(parts)-1, 0)] }
 
 func sumTokens(parts []Part) int {
 	sum := 0
@@ -367,7 +367,7 @@
 		}
 	}
 	if c.StoreToFill != nil {
-		for _, p := range q.sharedParts() {
+		for _, p := range SharedParts(q.Parts) {
 			b.cacheDirectory.RecordStored(c.StoreToFill.ID, salt, p.ID, p.Tokens, false, now)
 		}
 	}
