Answers that clear a part are told by a few hosts, not by all

Found by reckoning for large fleets: after a crash every host that gets an answer with one of the parts at it would tell all others within 100 ms, for a common part 880 times 880 notices. Each host now waits a random time that grows with the fleet (5 ms a host, 1 s at most) and keeps silent if another has told it before.

Test: TestHeardAnswersAreNotRepeated.

--- /dev/null
+++ b/internal/fpgateway/announce_test.go
@@ -0,0 +1,28 @@
+package fpgateway
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fescuepoint/fescuepoint/internal/fplog"
+	"github.com/fescuepoint/fescuepoint/internal/fpnotice"
+	"github.com/fescuepoint/fescuepoint/pkg/fpquarantine"
+)
+
+// TestHeardAnswersAreNotRepeated checks that a host does not tell the others of answered parts that
+// another host has told them of, so that notices do not grow with the square of the fleet.
+func TestHeardAnswersAreNotRepeated(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	g := New(Settings{}.WithDefaults(), Dependencies{Clock: func() time.Duration { return now }, Log: fplog.NewQueue(&bytes.Buffer{})})
+	g.recordCrashEvidence("r1", []fpquarantine.Part{{ID: "heard"}, {ID: "unheard"}}, now)
+	now += time.Second
+	g.recordWholeAnswer([]string{"heard", "unheard"})
+	g.handleAnsweredNotice(&fpnotice.PartsAnswered{IDs: []string{"heard"}})
+	now += maxAnnounceDelay
+	is.Equal(g.dueAnnouncements(), []string{"unheard"})
+	is.Equal(len(g.dueAnnouncements()), 0)
+}
--- a/internal/fpgateway/quarantine.go
+++ b/internal/fpgateway/quarantine.go
@@ -25,6 +25,10 @@
 	storeQuarantineInterval = 200 * time.Millisecond
 	// storeDelayPerHost spreads the writes of all hosts, most of which find the part written.
 	storeDelayPerHost = 10 * time.Millisecond
+	// announceDelayPerHost and maxAnnounceDelay spread what all hosts know, so that most hear it from
+	// another host before they would tell it.
+	announceDelayPerHost = 5 * time.Millisecond
+	maxAnnounceDelay     = time.Second
 	// maxPartIDBytes is the longest ID of a part that can be quarantined; it fits into a key and
 	// into a notice.
 	maxPartIDBytes = 160
@@ -47,8 +51,8 @@
 		writeAt map[string]time.Duration
 		// expired holds the parts whose entry is to be deleted from the store.
 		expired map[string]bool
-		// answered holds the answered parts to announce.
-		answered map[string]bool
+		// announceAt holds the times at which answered parts are announced.
+		announceAt map[string]time.Duration
 		// unbegun holds the attempts that have no answer yet.
 		unbegun map[*request]context.CancelCauseFunc
 	}
@@ -57,7 +61,7 @@
 func newQuarantine() *quarantine {
 	return &quarantine{
 		tracker: fpquarantine.New(), revisions: make(map[string]int64), writeAt: make(map[string]time.Duration),
-		expired: make(map[string]bool), answered: make(map[string]bool), unbegun: make(map[*request]context.CancelCauseFunc),
+		expired: make(map[string]bool), announceAt: make(map[string]time.Duration), unbegun: make(map[*request]context.CancelCauseFunc),
 	}
 }
 
@@ -117,18 +121,39 @@
 func (g *Gateway) recordCrashEvidence(replica string, parts []fpquarantine.Part, at time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, id := range g.quarantine.tracker.RecordCrash(replica, parts, at) {
-		g.quarantine.answered[id] = true
+	g.scheduleAnnouncements(g.quarantine.tracker.RecordCrash(replica, parts, at))
+}
+
+// scheduleAnnouncements has answered parts announced, unless another host does so before. The gateway's
+// mutex must be held.
+func (g *Gateway) scheduleAnnouncements(ids []string) {
+	spread := min(time.Duration(g.snapshot.Load().hostCount+1)*announceDelayPerHost, maxAnnounceDelay)
+	for _, id := range ids {
+		if _, scheduled := g.quarantine.announceAt[id]; !scheduled {
+			g.quarantine.announceAt[id] = g.clock() + rand.N(spread)
+		}
 	}
 }
 
+// dueAnnouncements returns the answered parts to announce now. The gateway's mutex must be held.
+func (g *Gateway) dueAnnouncements() []string {
+	var ids []string
+	for id, at := range g.quarantine.announceAt {
+		if g.clock() >= at {
+			ids = append(ids, id)
+			delete(g.quarantine.announceAt, id)
+		}
+	}
+	return ids
+}
+
 // handleAnsweredNotice takes another host's answers as evidence; this host need not announce the same.
 func (g *Gateway) handleAnsweredNotice(a *fpnotice.PartsAnswered) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.quarantine.tracker.RecordPeerAnswer(a.IDs, g.clock()-time.Duration(a.AgeMs)*time.Millisecond)
 	for _, id := range a.IDs {
-		delete(g.quarantine.answered, id)
+		delete(g.quarantine.announceAt, id)
 	}
 }
 
@@ -139,9 +164,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, id := range g.quarantine.tracker.RecordAnswer(sharedParts, g.clock()) {
-		g.quarantine.answered[id] = true
-	}
+	g.scheduleAnnouncements(g.quarantine.tracker.RecordAnswer(sharedParts, g.clock()))
 }
 
 // quarantinedPart returns the first of the parts that is in quarantine, "" for none, and how long it
@@ -175,11 +198,7 @@
 		for _, id := range expired {
 			g.quarantine.expired[id] = true
 		}
-		var answered []string
-		for id := range g.quarantine.answered {
-			answered = append(answered, id)
-		}
-		clear(g.quarantine.answered)
+		answered := g.dueAnnouncements()
 		count := len(g.quarantine.tracker.Entries(now))
 		g.mu.Unlock()
 		peers := g.snapshot.Load().allPeers
