A limit that another host has told of is not told again

Found by reckoning for large fleets: each host with a share of a replica's limit told all others of it every 2 s. Hosts now count what they hear, so that about one tells it in each interval.

Test: TestHeardLimitsAreNotRepeated.

--- a/internal/fpgateway/announce_test.go
+++ b/internal/fpgateway/announce_test.go
@@ -26,3 +26,18 @@
 	is.Equal(g.dueAnnouncements(), []string{"unheard"})
 	is.Equal(len(g.dueAnnouncements()), 0)
 }
+
+// TestHeardLimitsAreNotRepeated checks that a host does not tell the others of a limit that another host
+// told them of within the interval.
+func TestHeardLimitsAreNotRepeated(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	g := New(Settings{}.WithDefaults(), Dependencies{Clock: func() time.Duration { return now }, Log: fplog.NewQueue(&bytes.Buffer{})})
+	g.handleLimitNotice(&fpnotice.ReplicaLimit{Replica: "r1", Named: true, Rate: 3}, "another")
+	now += limitAnnounceInterval / 2
+	g.recordLimit("r1", Reply{HasLimit: true, Limit: 3}, now)
+	is.Equal(now-g.limitsAnnouncedAt["r1"], limitAnnounceInterval/2) // told by the other host
+	now += limitAnnounceInterval
+	g.recordLimit("r1", Reply{HasLimit: true, Limit: 3}, now)
+	is.Equal(g.limitsAnnouncedAt["r1"], now)
+}
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -87,7 +87,7 @@
 		// brokenReplicas holds the replicas that broke off answers, by ID.
 		brokenReplicas map[string]*brokenReplica
 		quarantine     *quarantine
-		// limitsAnnouncedAt holds when this host last told the others of a replica's limit.
+		// limitsAnnouncedAt holds when a replica's limit was last told to all hosts.
 		limitsAnnouncedAt map[string]time.Duration
 	}
 )
--- a/internal/fpgateway/limit.go
+++ b/internal/fpgateway/limit.go
@@ -12,8 +12,8 @@
 	"github.com/fescuepoint/fescuepoint/pkg/fproute"
 )
 
-// limitAnnounceInterval is the interval at which hosts that hear a replica name its limit tell the
-// others of it again.
+// limitAnnounceInterval is the interval at which a replica's limit is told to all hosts again, by the
+// first that hears it named.
 const limitAnnounceInterval = 2 * time.Second
 
 // recordLimit records the limit that a reply names, or that it names none, and tells the other hosts. A
@@ -42,6 +42,7 @@
 func (g *Gateway) handleLimitNotice(l *fpnotice.ReplicaLimit, host string) {
 	g.mu.Lock()
 	changed := g.updateLimit(l.Replica, l.Named, l.Rate, g.clock())
+	g.limitsAnnouncedAt[l.Replica] = g.clock()
 	g.mu.Unlock()
 	if changed {
 		g.logLimit(l.Replica, l.Named, l.Rate, host)
