A broken request with a suspected part is not sent to a second replica

Until a part is convicted each request with it still took two replicas, by the host's own second attempt. From its second failure on, with no answer since, a part is suspected and a broken request with it ends with 502 at the first replica.

Test: TestSuspects.

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -375,10 +375,13 @@
 func (q *request) handleIncompleteAnswer(ctx context.Context, c fpbalance.Choice, err error) attemptResult {
 	q.appendTrail("%s broken: %v", c.Replica.ID, err)
 	q.noteBrokenAttempt(c, err)
+	reason := "the replica gave no whole answer"
 	if ctx.Err() == nil && q.route.Repeatable() && q.runs < q.route.MaxAttempts {
-		return tryAnotherReplica
+		if !q.gateway.suspectsPart(q.sharedParts) {
+			return tryAnotherReplica
+		}
+		reason += ", and a part of the prompt is suspected to crash replicas"
 	}
-	reason := "the replica gave no whole answer"
 	if ctx.Err() != nil {
 		reason = "out of time"
 	}
--- a/internal/fpgateway/quarantine.go
+++ b/internal/fpgateway/quarantine.go
@@ -45,6 +45,8 @@
 	// quarantine is a host's state of the parts that crash replicas; the gateway's mutex guards it.
 	quarantine struct {
 		tracker *fpquarantine.Tracker
+		// suspects holds the parts that may be convicted next.
+		suspects map[string]bool
 		// revisions holds the store's revisions of the parts in it.
 		revisions map[string]int64
 		// writeAt holds the times at which parts that are not in the store are written.
@@ -175,6 +177,19 @@
 	return g.quarantine.tracker.Find(ids, g.clock())
 }
 
+// suspectsPart reports whether one of the parts may crash replicas, so that a repeat of the request may
+// cost another replica.
+func (g *Gateway) suspectsPart(ids []string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, id := range ids {
+		if g.quarantine.suspects[id] {
+			return true
+		}
+	}
+	return false
+}
+
 // trackUnbegun makes an attempt end when a part of its prompt is put into quarantine.
 func (g *Gateway) trackUnbegun(q *request, cancel context.CancelCauseFunc) {
 	g.mu.Lock()
@@ -199,6 +214,10 @@
 			g.quarantine.expired[id] = true
 		}
 		answered := g.dueAnnouncements()
+		g.quarantine.suspects = make(map[string]bool)
+		for _, id := range g.quarantine.tracker.Suspects() {
+			g.quarantine.suspects[id] = true
+		}
 		count := len(g.quarantine.tracker.Entries(now))
 		g.mu.Unlock()
 		peers := g.snapshot.Load().allPeers
--- a/pkg/fpquarantine/tracker.go
+++ b/pkg/fpquarantine/tracker.go
@@ -16,6 +16,8 @@
 	// takes many replicas at the same time.
 	minEpisodes   = 4
 	episodeLength = 500 * time.Millisecond
+	// minSuspectEpisodes is the number of failures from which a part is suspected.
+	minSuspectEpisodes = 2
 	// minEpisodeShare is the least share of all failures since the part's first at which it was: a part
 	// that comes along with replicas that fail for another reason misses most of them.
 	minEpisodeShare = 0.4
@@ -215,7 +217,7 @@
 		return best, false
 	}
 	for _, s := range suspects(episodes) {
-		if float64(s.episodes) < minEpisodeShare*float64(len(episodes)-s.firstEpisode) {
+		if !s.inMostSince(episodes) {
 			continue
 		}
 		switch {
@@ -231,6 +233,27 @@
 	return best, best.episodes >= minEpisodes && (!tied || best.crashes >= tieCrashes)
 }
 
+// Suspects returns the parts that several failures speak against, none of which is in quarantine. To
+// repeat a request with one of them may cost another replica.
+func (t *Tracker) Suspects() []string {
+	episodes := t.episodes()
+	if len(episodes) < minSuspectEpisodes {
+		return nil
+	}
+	var out []string
+	for id, s := range suspects(episodes) {
+		if s.episodes >= minSuspectEpisodes && s.inMostSince(episodes) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// inMostSince reports whether the part was at enough of the failures since its first.
+func (s *suspect) inMostSince(episodes []episode) bool {
+	return float64(s.episodes) >= minEpisodeShare*float64(len(episodes)-s.firstEpisode)
+}
+
 // episodes returns the failures that no part in quarantine explains, oldest first.
 func (t *Tracker) episodes() []episode {
 	var out []episode
--- a/pkg/fpquarantine/tracker_test.go
+++ b/pkg/fpquarantine/tracker_test.go
@@ -238,6 +238,20 @@
 	is.Equal(len(second.Entries(time.Hour+Duration/2)), 0)
 }
 
+// TestSuspects checks that a part is suspected from its second failure on, until an answer clears it or it
+// is convicted.
+func TestSuspects(t *testing.T) {
+	is := is.New(t)
+	tr := New()
+	tr.RecordCrash("r1", parts("common", "dead"), 1*second)
+	tr.RecordAnswer([]string{"common"}, 1500*time.Millisecond)
+	is.Equal(len(tr.Suspects()), 0)
+	tr.RecordCrash("r2", parts("common", "dead"), 2*second)
+	is.Equal(tr.Suspects(), []string{"dead"})
+	tr.RecordAnswer([]string{"dead"}, 3*second)
+	is.Equal(len(tr.Suspects()), 0)
+}
+
 // TestBounds checks that evidence of any length takes bounded memory.
 func TestBounds(t *testing.T) {
 	is := is.New(t)
