Streams without length or chunks: whole at an event's end, broken inside one

The relay held it already; no test said it for streams. The stand-in replica plays both, TestMisbehavingReplicas checks both.

--- a/internal/fpgateway/gateway_test.go
+++ b/internal/fpgateway/gateway_test.go
@@ -129,6 +129,8 @@
 		"read that fails twice forwards the failure":     {route: "read", behaviours: []fpfake.Behaviour{fpfake.ServerError}, status: 500, runs: 2, body: "failed"},
 		"chat that trickles ends at the route's timeout": {route: "chat", behaviours: []fpfake.Behaviour{fpfake.Trickle}, status: 504, runs: 1},
 		"chat cut midway looks incomplete":               {route: "chat", behaviours: []fpfake.Behaviour{fpfake.Truncate}, status: 200, runs: 1, streamCut: true},
+		"chat without a length is whole":                 {route: "chat", behaviours: []fpfake.Behaviour{fpfake.NoContentLength}, status: 200, runs: 1, body: wholeStream},
+		"chat without a length cut inside an event":      {route: "chat", behaviours: []fpfake.Behaviour{fpfake.TruncateWithoutLength}, status: 200, runs: 1, streamCut: true},
 		"chat with its answer lost is unknown":           {route: "chat", behaviours: []fpfake.Behaviour{fpfake.RunAndReset}, status: 502, runs: 1},
 	}
 	for name, tt := range tests {
