The store's incarnation is read, logged and kept with positions

Callers saw routes missing after a restore of the store; the hosts' lines could not tell a lost history from a restore, nor what the copy held. Positions and leases now name the store's incarnation, a restore and an older configuration in the store have a line each, and the gauge store_incarnation shows it. No decision uses the incarnation yet. The stand-ins of the store can be restored from a copy, with revisions and lease numbers assigned again.

--- a/internal/fpclaimant/claimant.go
+++ b/internal/fpclaimant/claimant.go
@@ -222,7 +222,8 @@
 	if err != nil {
 		panic(errors.Wrap(err, "fpclaimant: slot cannot be encoded"))
 	}
-	return fpstore.CompareAndSwap(ctx, r.store, fpclaim.SlotKey(r.shardNumber, a.Slot), a.Expected, data, 0)
+	position, err := fpstore.CompareAndSwap(ctx, r.store, fpclaim.SlotKey(r.shardNumber, a.Slot), a.Expected, data, fpstore.LeaseID{})
+	return position.Revision, err
 }
 
 func (r *shardRunner) postResult(ctx context.Context, handleResult func(*fpclaim.Shard) []fpclaim.Action) {
--- a/internal/fpdispatch/testfleet_test.go
+++ b/internal/fpdispatch/testfleet_test.go
@@ -246,7 +246,7 @@
 }
 
 // Commit writes at once, or leaves the write unanswered and lets it take effect 3 s later.
-func (s lateWriteStore) Commit(ctx context.Context, t fpstore.Transaction) (int64, error) {
+func (s lateWriteStore) Commit(ctx context.Context, t fpstore.Transaction) (fpstore.Position, error) {
 	tf := s.fleet
 	tf.mu.Lock()
 	rate := tf.faults.lateWriteRate
@@ -257,7 +257,7 @@
 	if delivered, _ := s.BeforeCall(ctx, true); delivered {
 		time.AfterFunc(3*time.Second, func() { _, _ = tf.store.Commit(t, time.Now()) })
 	}
-	return 0, fpstore.ErrOutcomeUnknown
+	return fpstore.Position{}, fpstore.ErrOutcomeUnknown
 }
 
 // reachPeer returns the host with the given address if this host can reach it.
--- a/internal/fpfeed/history.go
+++ b/internal/fpfeed/history.go
@@ -51,10 +51,10 @@
 	defer h.mu.Unlock()
 	h.sentAt = max(h.sentAt, u.SentAt)
 	if u.Complete {
-		h.baseRevision, h.revision, h.changes, h.valueBytes, h.listed = u.Revision, u.Revision, nil, 0, true
+		h.baseRevision, h.revision, h.changes, h.valueBytes, h.listed = u.Position.Revision, u.Position.Revision, nil, 0, true
 		return
 	}
-	h.revision = max(h.revision, u.Revision)
+	h.revision = max(h.revision, u.Position.Revision)
 	for _, i := range u.Items {
 		h.changes = append(h.changes, i)
 		h.valueBytes += len(i.Value)
--- a/internal/fpfeed/history_test.go
+++ b/internal/fpfeed/history_test.go
@@ -10,6 +10,8 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpstore"
 )
 
+func at(revision int64) fpstore.Position { return fpstore.Position{Revision: revision} }
+
 func itemsInRange(from, to int64, value []byte) []fpstore.Item {
 	var out []fpstore.Item
 	for r := from; r <= to; r++ {
@@ -20,7 +22,7 @@
 
 // TestHistory checks which changes a history returns after which updates.
 func TestHistory(t *testing.T) {
-	list := fpstore.Update{Complete: true, Revision: 10, SentAt: time.Second}
+	list := fpstore.Update{Complete: true, Position: at(10), SentAt: time.Second}
 	tests := map[string]struct {
 		updates []fpstore.Update
 		after   int64
@@ -32,18 +34,18 @@
 		"after the list":              {updates: []fpstore.Update{list}, after: 10, found: true, sent: time.Second},
 		"revision before the list":    {updates: []fpstore.Update{list}, after: 9},
 		"revision ahead of this host": {updates: []fpstore.Update{list}, after: 12, found: true, sent: time.Second},
-		"changes after the list":      {updates: []fpstore.Update{list, {Items: itemsInRange(11, 15, nil), Revision: 15, SentAt: 2 * time.Second}}, after: 12, found: true, items: 3, sent: 2 * time.Second},
-		"a failed update is ignored":  {updates: []fpstore.Update{list, {Err: fpstore.ErrRefused, SentAt: time.Hour, Revision: 99}}, after: 10, found: true, sent: time.Second},
+		"changes after the list":      {updates: []fpstore.Update{list, {Items: itemsInRange(11, 15, nil), Position: at(15), SentAt: 2 * time.Second}}, after: 12, found: true, items: 3, sent: 2 * time.Second},
+		"a failed update is ignored":  {updates: []fpstore.Update{list, {Err: fpstore.ErrRefused, SentAt: time.Hour, Position: at(99)}}, after: 10, found: true, sent: time.Second},
 		"an older send time is ignored": {
-			updates: []fpstore.Update{list, {Revision: 10, SentAt: time.Millisecond}}, after: 10, found: true, sent: time.Second,
+			updates: []fpstore.Update{list, {Position: at(10), SentAt: time.Millisecond}}, after: 10, found: true, sent: time.Second,
 		},
-		"a new list drops the changes": {updates: []fpstore.Update{list, {Items: itemsInRange(11, 15, nil), Revision: 15}, {Complete: true, Revision: 20}}, after: 15},
-		"limit of changes exceeded":    {updates: []fpstore.Update{list, {Items: itemsInRange(11, 11+maxHistoryItems, nil), Revision: 11 + maxHistoryItems}}, after: 10},
+		"a new list drops the changes": {updates: []fpstore.Update{list, {Items: itemsInRange(11, 15, nil), Position: at(15)}, {Complete: true, Position: at(20)}}, after: 15},
+		"limit of changes exceeded":    {updates: []fpstore.Update{list, {Items: itemsInRange(11, 11+maxHistoryItems, nil), Position: at(11 + maxHistoryItems)}}, after: 10},
 		"newest changes within the limit": {
-			updates: []fpstore.Update{list, {Items: itemsInRange(11, 11+maxHistoryItems, nil), Revision: 11 + maxHistoryItems}},
+			updates: []fpstore.Update{list, {Items: itemsInRange(11, 11+maxHistoryItems, nil), Position: at(11 + maxHistoryItems)}},
 			after:   11, found: true, items: maxHistoryItems, sent: time.Second,
 		},
-		"limit of bytes exceeded": {updates: []fpstore.Update{list, {Items: itemsInRange(11, 13, make([]byte, maxHistoryBytes/2)), Revision: 13}}, after: 10},
+		"limit of bytes exceeded": {updates: []fpstore.Update{list, {Items: itemsInRange(11, 13, make([]byte, maxHistoryBytes/2)), Position: at(13)}}, after: 10},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/fpfeed/service_test.go
+++ b/internal/fpfeed/service_test.go
@@ -17,8 +17,8 @@
 // is never underestimated.
 func TestFetchChanges(t *testing.T) {
 	const localNow, peerNow = time.Hour, 500 * time.Hour
-	list := fpstore.Update{Complete: true, Revision: 10, SentAt: peerNow - 400*time.Millisecond}
-	change := fpstore.Update{Items: []fpstore.Item{{Key: "k", Value: []byte("\x00v"), Revision: 11}, {Key: "l", Revision: 12, Deleted: true}}, Revision: 12, SentAt: list.SentAt}
+	list := fpstore.Update{Complete: true, Position: at(10), SentAt: peerNow - 400*time.Millisecond}
+	change := fpstore.Update{Items: []fpstore.Item{{Key: "k", Value: []byte("\x00v"), Revision: 11}, {Key: "l", Revision: 12, Deleted: true}}, Position: at(12), SentAt: list.SentAt}
 	tests := map[string]struct {
 		after int64
 		host  string
--- a/internal/fpfollower/follower.go
+++ b/internal/fpfollower/follower.go
@@ -247,7 +247,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	items, _, err := f.store.Watch(ctx, fpconfig.SlotKey(next), page.Revision, watchTimeout)
+	items, _, err := f.store.Watch(ctx, fpconfig.SlotKey(next), page.Position.Revision, watchTimeout)
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil
--- a/internal/fpfollower/follower_test.go
+++ b/internal/fpfollower/follower_test.go
@@ -242,7 +242,7 @@
 			backup := f.store.Snapshot()
 			_, err = f.sendPatch("q", 0)
 			is.NoErr(err)
-			f.store.Restore(backup)
+			f.store.Restore(backup, time.Now())
 			_, err = f.sendPatch("r", 0)
 			is.True(errors.Is(err, ErrStoreBehind))
 			is.Equal(f.versionOfPatch(0, "q"), uint64(2))
--- a/internal/fpfollower/patch.go
+++ b/internal/fpfollower/patch.go
@@ -70,7 +70,7 @@
 		case err == nil && stored.ID != "" && stored.Version() >= p.Version():
 			return errors.Wrapf(fpconfig.ErrStale, "another patch led to version %d", stored.Version())
 		case err == nil:
-			_, err = fpstore.CompareAndSwap(ctx, f.store, fpconfig.SlotKey(p.Version()), revision, data, 0)
+			_, err = fpstore.CompareAndSwap(ctx, f.store, fpconfig.SlotKey(p.Version()), revision, data, fpstore.LeaseID{})
 			if err == nil {
 				return nil
 			}
@@ -107,7 +107,7 @@
 		if err != nil {
 			panic(errors.Wrap(err, "fpfollower: snapshot cannot be encoded"))
 		}
-		if _, err := fpstore.CompareAndSwap(ctx, f.store, fpconfig.SnapshotKey(), old.Revision, data, 0); err != nil {
+		if _, err := fpstore.CompareAndSwap(ctx, f.store, fpconfig.SnapshotKey(), old.Revision, data, fpstore.LeaseID{}); err != nil {
 			return errors.Mark(err, ErrPlatformUnavailable)
 		}
 		stored = s
--- a/internal/fpgateway/peerread.go
+++ b/internal/fpgateway/peerread.go
@@ -149,7 +149,7 @@
 			delete(g.storeReaders.skippedUntil, name)
 			g.metrics.AddToCounter("news_taken", 1)
 			g.recordReadSource(name, "", age)
-			return fpstore.Update{Items: changes.Items, Revision: changes.Revision, SentAt: changes.SentAt}, true
+			return fpstore.Update{Items: changes.Items, Position: fpstore.Position{Revision: changes.Revision}, SentAt: changes.SentAt}, true
 		}
 		if ctx.Err() != nil {
 			break
--- a/internal/fpgateway/register.go
+++ b/internal/fpgateway/register.go
@@ -24,7 +24,7 @@
 // maintainHostEntry keeps this host's entry in the store. The hosts share the retry budget by
 // the number of entries.
 func (g *Gateway) maintainHostEntry(ctx context.Context) error {
-	lease := fpstore.LeaseID(0)
+	var lease fpstore.LeaseID
 	for ctx.Err() == nil {
 		next, err := g.renewHostEntry(ctx, lease)
 		pause := hostLeaseRenewInterval
@@ -42,7 +42,7 @@
 func (g *Gateway) renewHostEntry(ctx context.Context, lease fpstore.LeaseID) (fpstore.LeaseID, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	if lease != 0 {
+	if lease != (fpstore.LeaseID{}) {
 		err := g.store.RenewLease(ctx, lease)
 		if !errors.Is(err, fpstore.ErrLeaseNotFound) {
 			return lease, err
@@ -50,26 +50,26 @@
 	}
 	lease, err := g.store.GrantLease(ctx, hostLeaseTTL)
 	if err != nil {
-		return 0, err
+		return fpstore.LeaseID{}, err
 	}
 	_, err = g.store.Commit(ctx, fpstore.Transaction{
 		Puts: []fpstore.Put{{Key: hostKeyPrefix + g.settings().Host, Value: []byte(g.settings().encodeHostEntry()), Lease: lease}},
 	})
 	if err != nil {
-		return 0, err
+		return fpstore.LeaseID{}, err
 	}
 	return lease, nil
 }
 
 // revokeLease revokes a lease at a planned stop; if that fails, the lease expires.
 func (g *Gateway) revokeLease(lease fpstore.LeaseID) error {
-	if lease == 0 {
+	if lease == (fpstore.LeaseID{}) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownMargin)
 	defer cancel()
 	if err := g.store.RevokeLease(ctx, lease); err != nil {
-		g.log("lease not revoked", "Lease", int64(lease), "Error", err.Error())
+		g.log("lease not revoked", "Lease", lease.Number, "Error", err.Error())
 	}
 	return nil
 }
--- a/internal/fpgateway/rollout.go
+++ b/internal/fpgateway/rollout.go
@@ -105,11 +105,11 @@
 func (r *rollout) ensureLease(ctx context.Context) bool {
 	s := r.gateway.snapshot.Load()
 	now := r.gateway.clock()
-	if r.leaseID != 0 && r.leaseExpiry() == 0 {
+	if r.holdsLease() && r.leaseExpiry() == 0 {
 		// A replica refused an order as fenced: another host holds the lease by now.
 		r.dropLease("a replica has seen a higher fencing token")
 	}
-	if r.leaseID == 0 {
+	if !r.holdsLease() {
 		if s.catalog == nil || s.orderLeaseHolder != "" || s.storeUnreachable {
 			return false
 		}
@@ -156,7 +156,7 @@
 		g.log("order lease not acquired", "Error", err.Error())
 		return false
 	}
-	fence, err := g.store.Commit(ctx, fpstore.Transaction{
+	position, err := g.store.Commit(ctx, fpstore.Transaction{
 		Conditions: []fpstore.Condition{{Key: orderLeaseKey}},
 		Puts:       []fpstore.Put{{Key: orderLeaseKey, Value: []byte(g.settings().Host), Lease: id}},
 	})
@@ -164,14 +164,18 @@
 		g.log("order lease not acquired", "Error", err.Error())
 		return false
 	}
+	fence := position.Revision
 	r.leaseID, r.lastRenewal = id, sent
 	r.mu.Lock()
 	r.lease = fporder.Lease{FencingToken: fence, AcquiredAt: g.clock(), ExpiresAt: sent + g.settings().OrderLeaseTTL}
 	r.mu.Unlock()
-	g.log("order lease acquired", "Fence", fence, "Lease", int64(id))
+	g.log("order lease acquired", "Fence", fence, "Lease", id.Number)
 	return true
 }
 
+// holdsLease reports whether this host holds the order lease as far as it knows.
+func (r *rollout) holdsLease() bool { return r.leaseID != (fpstore.LeaseID{}) }
+
 func (r *rollout) leaseExpiry() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -179,11 +183,11 @@
 }
 
 func (r *rollout) dropLease(reason string) {
-	if r.leaseID == 0 {
+	if !r.holdsLease() {
 		return
 	}
 	r.gateway.log("order lease no longer held", "Fence", r.lease.FencingToken, "Reason", reason)
-	r.leaseID = 0
+	r.leaseID = fpstore.LeaseID{}
 	r.mu.Lock()
 	r.lease = fporder.Lease{}
 	r.mu.Unlock()
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -45,6 +45,8 @@
 		proof fpfresh.Proof
 		// orderLeaseHolder is the holder of the order lease according to the store, "" for none.
 		orderLeaseHolder string
+		// incarnation is the store's, as of the last complete list.
+		incarnation int64
 	}
 
 	// hostEntry is a host's entry in the store; the address is nil when the host receives no
@@ -116,6 +118,7 @@
 	c.markStoreReachable(now)
 	var listed []fpfleet.Replica
 	if u.Complete {
+		c.recordIncarnation(u.Position, now)
 		clear(c.hosts)
 		c.gateway.releaseUnlisted(u.Items)
 		c.orderLeaseHolder = ""
@@ -129,6 +132,16 @@
 	c.proof = c.proof.WithAnswer(u.SentAt)
 }
 
+// recordIncarnation logs that the store was restored from a copy.
+func (c *controlState) recordIncarnation(p fpstore.Position, now time.Duration) {
+	if known := c.proof != (fpfresh.Proof{}); known && p.Incarnation != c.incarnation {
+		c.gateway.log("store restored from a copy", "Incarnation", p.Incarnation, "Former", c.incarnation, "Revision", p.Revision,
+			"ProofAge", c.gateway.formatProofAge(now))
+	}
+	c.incarnation = p.Incarnation
+	c.gateway.metrics.SetGauge("store_incarnation", float64(p.Incarnation))
+}
+
 func (c *controlState) markStoreUnreachable(err error, now time.Duration) {
 	if !c.storeUnreachable {
 		c.storeUnreachable = true
@@ -237,6 +250,9 @@
 // applyCatalog puts a configuration in force, unless it is not newer than the current one.
 func (c *controlState) applyCatalog(n *fpcatalog.Catalog, revision int64) {
 	if c.catalog != nil && n.Version() <= c.catalog.Version() {
+		if n.Version() < c.catalog.Version() {
+			c.gateway.log("older configuration in the store", "ConfigVersion", n.Version(), "InForce", c.catalog.Version(), "Revision", revision)
+		}
 		return
 	}
 	c.catalog = n
--- a/internal/fphost/rollout.go
+++ b/internal/fphost/rollout.go
@@ -49,7 +49,7 @@
 		r.releaseLease()
 		return
 	}
-	if r.leaseID == 0 && !r.acquireLease(ctx) {
+	if r.leaseID == (fpstore.LeaseID{}) && !r.acquireLease(ctx) {
 		return
 	}
 	if !r.renewLease(ctx) {
@@ -75,14 +75,14 @@
 	if err != nil {
 		return false
 	}
-	revision, err := fpstore.CompareAndSwap(ctx, r.host.store, rolloutLeaseKey, 0, []byte(r.host.settings.Host.Name), leaseID)
+	position, err := fpstore.CompareAndSwap(ctx, r.host.store, rolloutLeaseKey, 0, []byte(r.host.settings.Host.Name), leaseID)
 	if err != nil {
 		_ = r.host.store.RevokeLease(ctx, leaseID)
 		return false
 	}
 	r.leaseID = leaseID
 	r.renewedAt = start
-	r.lease = fporder.Lease{FencingToken: revision, AcquiredAt: fpclock.SinceBoot(), ExpiresAt: start + fporder.LeaseTTL}
+	r.lease = fporder.Lease{FencingToken: position.Revision, AcquiredAt: fpclock.SinceBoot(), ExpiresAt: start + fporder.LeaseTTL}
 	return true
 }
 
@@ -108,12 +108,12 @@
 }
 
 func (r *rolloutRunner) clearLease() {
-	r.leaseID = 0
+	r.leaseID = fpstore.LeaseID{}
 	r.lease = fporder.Lease{}
 }
 
 func (r *rolloutRunner) releaseLease() {
-	if r.leaseID == 0 {
+	if r.leaseID == (fpstore.LeaseID{}) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/internal/fpmemory/direct.go
+++ b/internal/fpmemory/direct.go
@@ -42,31 +42,31 @@
 }
 
 // Watch waits for changes after a revision.
-func (d Direct) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]fpstore.Item, int64, error) {
+func (d Direct) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]fpstore.Item, fpstore.Position, error) {
 	if _, err := d.beforeCall(ctx, false); err != nil {
-		return nil, 0, err
+		return nil, fpstore.Position{}, err
 	}
 	return d.Store.WaitForChanges(ctx, prefix, after, wait)
 }
 
 // Commit applies a transaction. An injected error is returned whether or not the transaction
 // was applied.
-func (d Direct) Commit(ctx context.Context, t fpstore.Transaction) (int64, error) {
+func (d Direct) Commit(ctx context.Context, t fpstore.Transaction) (fpstore.Position, error) {
 	apply, err := d.beforeCall(ctx, true)
 	if err != nil && !apply {
-		return 0, err
+		return fpstore.Position{}, err
 	}
-	revision, commitErr := d.Store.Commit(t, time.Now())
+	position, commitErr := d.Store.Commit(t, time.Now())
 	if err != nil {
-		return 0, err
+		return fpstore.Position{}, err
 	}
-	return revision, commitErr
+	return position, commitErr
 }
 
 // GrantLease creates a lease.
 func (d Direct) GrantLease(ctx context.Context, ttl time.Duration) (fpstore.LeaseID, error) {
 	if _, err := d.beforeCall(ctx, true); err != nil {
-		return 0, err
+		return fpstore.LeaseID{}, err
 	}
 	return d.Store.GrantLease(ttl, time.Now()), nil
 }
--- a/internal/fpmemory/store.go
+++ b/internal/fpmemory/store.go
@@ -26,13 +26,15 @@
 		mu sync.Mutex
 		// changeSignal is closed and replaced at each change.
 		changeSignal chan struct{}
+		incarnation  int64
 		revision     int64
 		// compactRevision is the revision after which the history is complete.
 		compactRevision int64
 		items           map[string]fpstore.Item
 		history         []fpstore.Item
-		leases          map[fpstore.LeaseID]lease
-		lastLease       fpstore.LeaseID
+		// leases holds the leases by their number, which is what a caller names one by.
+		leases    map[int64]lease
+		lastLease int64
 		counts          Counts
 	}
 
@@ -58,7 +60,7 @@
 		revision:        1,
 		compactRevision: 1,
 		items:           make(map[string]fpstore.Item),
-		leases:          make(map[fpstore.LeaseID]lease),
+		leases:          make(map[int64]lease),
 	}
 }
 
@@ -102,18 +104,31 @@
 		}
 	}
 	slices.SortFunc(items, func(a, b fpstore.Item) int { return cmp.Compare(a.Key, b.Key) })
-	return fpstore.Page{Items: items[:min(len(items), MaxPageItems)], More: len(items) > MaxPageItems, Revision: s.revision}
+	return fpstore.Page{Items: items[:min(len(items), MaxPageItems)], More: len(items) > MaxPageItems, Position: s.position()}
+}
+
+// position returns the store's position; the mutex must be held.
+func (s *Store) position() fpstore.Position {
+	return fpstore.Position{Incarnation: s.incarnation, Revision: s.revision}
+}
+
+// Incarnation returns the number of restorations so far.
+func (s *Store) Incarnation() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.incarnation
 }
 
 // ChangesSince returns the changes under a prefix after a revision, the store's
-// revision, and a channel that is closed at the next change of any key.
-func (s *Store) ChangesSince(prefix string, after int64, now time.Time) ([]fpstore.Item, int64, <-chan struct{}, error) {
+// position, and a channel that is closed at the next change of any key. The history after a
+// revision that the store has not reached is not available.
+func (s *Store) ChangesSince(prefix string, after int64, now time.Time) ([]fpstore.Item, fpstore.Position, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Watches++
 	s.expireLeases(now)
-	if after < s.compactRevision {
-		return nil, s.revision, nil, fpstore.ErrCompacted
+	if after < s.compactRevision || after > s.revision {
+		return nil, s.position(), nil, fpstore.ErrCompacted
 	}
 	first, _ := slices.BinarySearchFunc(s.history, after+1, func(i fpstore.Item, r int64) int { return cmp.Compare(i.Revision, r) })
 	var events []fpstore.Item
@@ -122,18 +137,18 @@
 			events = append(events, i)
 		}
 	}
-	return events, s.revision, s.changeSignal, nil
+	return events, s.position(), s.changeSignal, nil
 }
 
 // WaitForChanges returns the changes under a prefix after a revision as soon as there
-// are any, or none when the wait has elapsed, with the store's revision.
-func (s *Store) WaitForChanges(ctx context.Context, prefix string, after int64, wait time.Duration) ([]fpstore.Item, int64, error) {
+// are any, or none when the wait has elapsed, with the store's position.
+func (s *Store) WaitForChanges(ctx context.Context, prefix string, after int64, wait time.Duration) ([]fpstore.Item, fpstore.Position, error) {
 	deadline := time.Now().Add(wait)
 	for {
 		now := time.Now()
-		items, revision, changed, err := s.ChangesSince(prefix, after, now)
+		items, position, changed, err := s.ChangesSince(prefix, after, now)
 		if err != nil || len(items) > 0 || !now.Before(deadline) {
-			return items, revision, err
+			return items, position, err
 		}
 		// An expiring lease deletes keys only on the next call, so wake up for it.
 		t := time.NewTimer(s.nextLeaseExpiry(deadline).Sub(now))
@@ -142,7 +157,7 @@
 		case <-t.C:
 		case <-ctx.Done():
 			t.Stop()
-			return nil, 0, ctx.Err()
+			return nil, fpstore.Position{}, ctx.Err()
 		}
 		t.Stop()
 	}
@@ -160,21 +175,21 @@
 	return latest
 }
 
-// Commit applies a transaction and returns its revision. Nothing is written if a
+// Commit applies a transaction and returns its position. Nothing is written if a
 // condition does not hold or a lease has ended.
-func (s *Store) Commit(t fpstore.Transaction, now time.Time) (int64, error) {
+func (s *Store) Commit(t fpstore.Transaction, now time.Time) (fpstore.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Writes++
 	s.expireLeases(now)
 	for _, c := range t.Conditions {
 		if s.items[c.Key].Revision != c.Revision {
-			return s.revision, fpstore.ErrConflict
+			return s.position(), fpstore.ErrConflict
 		}
 	}
 	for _, p := range t.Puts {
-		if _, ok := s.leases[p.Lease]; p.Lease != 0 && !ok {
-			return s.revision, fpstore.ErrLeaseNotFound
+		if _, ok := s.leases[p.Lease.Number]; p.Lease.Number != 0 && !ok {
+			return s.position(), fpstore.ErrLeaseNotFound
 		}
 	}
 	for _, p := range t.Puts {
@@ -183,7 +198,7 @@
 	for _, key := range t.Deletes {
 		s.deleteKey(key)
 	}
-	return s.revision, nil
+	return s.position(), nil
 }
 
 // GrantLease creates a lease.
@@ -193,7 +208,7 @@
 	s.counts.Leases++
 	s.lastLease++
 	s.leases[s.lastLease] = lease{ttl: ttl, expiresAt: now.Add(ttl)}
-	return s.lastLease
+	return fpstore.LeaseID{Incarnation: s.incarnation, Number: s.lastLease}
 }
 
 // RenewLease renews a lease and returns its time to live.
@@ -202,12 +217,12 @@
 	defer s.mu.Unlock()
 	s.counts.Leases++
 	s.expireLeases(now)
-	l, ok := s.leases[id]
+	l, ok := s.leases[id.Number]
 	if !ok {
 		return 0, fpstore.ErrLeaseNotFound
 	}
 	l.expiresAt = now.Add(l.ttl)
-	s.leases[id] = l
+	s.leases[id.Number] = l
 	return l.ttl, nil
 }
 
@@ -217,10 +232,10 @@
 	defer s.mu.Unlock()
 	s.counts.Leases++
 	s.expireLeases(now)
-	if _, ok := s.leases[id]; !ok {
+	if _, ok := s.leases[id.Number]; !ok {
 		return fpstore.ErrLeaseNotFound
 	}
-	s.deleteLease(id)
+	s.deleteLease(id.Number)
 	return nil
 }
 
@@ -231,22 +246,30 @@
 	s.history, s.compactRevision = nil, s.revision
 }
 
-// Snapshot returns a copy of the keys for a later Restore, without leases and history.
+// Snapshot returns a copy of the keys and leases for a later Restore, without the history.
 func (s *Store) Snapshot() *Store {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := New()
 	c.revision, c.compactRevision = s.revision, s.revision
 	c.items = maps.Clone(s.items)
+	c.leases, c.lastLease = maps.Clone(s.leases), s.lastLease
 	return c
 }
 
-// Restore resets the keys and the revision to those of an earlier snapshot and drops the history.
-func (s *Store) Restore(snapshot *Store) {
+// Restore starts a new incarnation with the keys, leases and revision of an earlier snapshot and without
+// history. The leases run from now.
+func (s *Store) Restore(snapshot *Store, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.incarnation++
 	s.revision, s.compactRevision, s.history = snapshot.revision, snapshot.revision, nil
 	s.items = maps.Clone(snapshot.items)
+	s.leases, s.lastLease = make(map[int64]lease), snapshot.lastLease
+	for number, l := range snapshot.leases {
+		s.leases[number] = lease{ttl: l.ttl, expiresAt: now.Add(l.ttl)}
+	}
+	s.signalChange()
 }
 
 func (s *Store) putKey(p fpstore.Put) {
@@ -276,6 +299,11 @@
 		s.history = slices.Clone(s.history[maxHistoryItems/2:])
 	}
 	s.history = append(s.history, i)
+	s.signalChange()
+}
+
+// signalChange wakes the watches.
+func (s *Store) signalChange() {
 	close(s.changeSignal)
 	s.changeSignal = make(chan struct{})
 }
@@ -289,10 +317,10 @@
 	}
 }
 
-func (s *Store) deleteLease(id fpstore.LeaseID) {
-	delete(s.leases, id)
+func (s *Store) deleteLease(number int64) {
+	delete(s.leases, number)
 	for key, i := range s.items {
-		if i.Lease == id {
+		if i.Lease.Number == number {
 			s.deleteKey(key)
 		}
 	}
--- a/internal/fpplatform/client.go
+++ b/internal/fpplatform/client.go
@@ -70,7 +70,7 @@
 	if err := c.postAndDecode(ctx, "/v3/kv/range", RangeRequest{Key: first, RangeEnd: end, Limit: maxPageItems}, &res); err != nil {
 		return fpstore.Page{}, err
 	}
-	p := fpstore.Page{More: res.More, Revision: res.Header.Revision}
+	p := fpstore.Page{More: res.More, Position: fpstore.Position{Revision: res.Header.Revision}}
 	for _, kv := range res.KeyValues {
 		p.Items = append(p.Items, kv.toItem())
 	}
@@ -80,13 +80,13 @@
 // Watch waits for changes under a prefix after a revision; it counts as one
 // call. Without changes it returns the given revision, and is then no evidence of
 // the store's current state.
-func (c *Client) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]fpstore.Item, int64, error) {
+func (c *Client) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]fpstore.Item, fpstore.Position, error) {
 	waitCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	first, end := prefixRange(prefix)
 	body, err := c.post(waitCtx, "/v3/watch", WatchRequest{Create: WatchCreate{Key: first, RangeEnd: end, StartRevision: after + 1}})
 	if err != nil {
-		return nil, 0, err
+		return nil, fpstore.Position{}, err
 	}
 	defer func() { _ = body.Close() }()
 	created := false
@@ -95,42 +95,42 @@
 		var msg WatchResponse
 		if err := dec.Decode(&msg); err != nil {
 			if created && ctx.Err() == nil && waitCtx.Err() != nil {
-				return nil, after, nil
+				return nil, fpstore.Position{Revision: after}, nil
 			}
-			return nil, 0, errors.Mark(errors.Wrap(err, "watch"), fpstore.ErrOutcomeUnknown)
+			return nil, fpstore.Position{}, errors.Mark(errors.Wrap(err, "watch"), fpstore.ErrOutcomeUnknown)
 		}
 		created = created || msg.Result.Created
 		switch {
 		case msg.Result.CompactRevision > 0:
-			return nil, 0, fpstore.ErrCompacted
+			return nil, fpstore.Position{}, fpstore.ErrCompacted
 		case msg.Result.Canceled:
-			return nil, 0, errors.Mark(errors.New("the watch was canceled"), fpstore.ErrRefused)
+			return nil, fpstore.Position{}, errors.Mark(errors.New("the watch was canceled"), fpstore.ErrRefused)
 		case len(msg.Result.Events) > 0:
-			return itemsFromEvents(msg.Result.Events), msg.Result.Header.Revision, nil
+			return itemsFromEvents(msg.Result.Events), fpstore.Position{Revision: msg.Result.Header.Revision}, nil
 		}
 	}
 }
 
 // Commit applies a transaction.
-func (c *Client) Commit(ctx context.Context, t fpstore.Transaction) (int64, error) {
+func (c *Client) Commit(ctx context.Context, t fpstore.Transaction) (fpstore.Position, error) {
 	var req TransactionRequest
 	for _, cond := range t.Conditions {
 		req.Compare = append(req.Compare, Compare{Key: []byte(cond.Key), Target: compareModRevision, Result: compareEqual, ModRevision: cond.Revision})
 	}
 	for _, p := range t.Puts {
-		req.Success = append(req.Success, Operation{Put: &PutRequest{Key: []byte(p.Key), Value: p.Value, Lease: int64(p.Lease)}})
+		req.Success = append(req.Success, Operation{Put: &PutRequest{Key: []byte(p.Key), Value: p.Value, Lease: p.Lease.Number}})
 	}
 	for _, key := range t.Deletes {
 		req.Success = append(req.Success, Operation{Delete: &DeleteRequest{Key: []byte(key)}})
 	}
 	var res TransactionResponse
 	if err := c.postAndDecode(ctx, "/v3/kv/txn", req, &res); err != nil {
-		return 0, err
+		return fpstore.Position{}, err
 	}
 	if !res.Succeeded {
-		return 0, fpstore.ErrConflict
+		return fpstore.Position{}, fpstore.ErrConflict
 	}
-	return res.Header.Revision, nil
+	return fpstore.Position{Revision: res.Header.Revision}, nil
 }
 
 // GrantLease creates a lease with the given time to live, rounded up to whole seconds.
@@ -138,13 +138,13 @@
 	seconds := int64((ttl + time.Second - 1) / time.Second)
 	var res LeaseResponse
 	err := c.postAndDecode(ctx, "/v3/lease/grant", LeaseRequest{TTL: seconds}, &res)
-	return fpstore.LeaseID(res.ID), err
+	return fpstore.LeaseID{Number: res.ID}, err
 }
 
 // RenewLease renews a lease.
 func (c *Client) RenewLease(ctx context.Context, lease fpstore.LeaseID) error {
 	var res KeepAliveResponse
-	if err := c.postAndDecode(ctx, "/v3/lease/keepalive", LeaseRequest{ID: int64(lease)}, &res); err != nil {
+	if err := c.postAndDecode(ctx, "/v3/lease/keepalive", LeaseRequest{ID: lease.Number}, &res); err != nil {
 		return err
 	}
 	if res.Result.TTL <= 0 {
@@ -156,7 +156,7 @@
 // RevokeLease revokes a lease and deletes the keys attached to it.
 func (c *Client) RevokeLease(ctx context.Context, lease fpstore.LeaseID) error {
 	var res LeaseResponse
-	return c.postAndDecode(ctx, "/v3/lease/revoke", LeaseRequest{ID: int64(lease)}, &res)
+	return c.postAndDecode(ctx, "/v3/lease/revoke", LeaseRequest{ID: lease.Number}, &res)
 }
 
 // postAndDecode makes one call and decodes its response.
@@ -237,6 +237,6 @@
 func (kv KeyValue) toItem() fpstore.Item {
 	return fpstore.Item{
 		Key: string(kv.Key), Value: kv.Value, Revision: kv.ModRevision,
-		Created: kv.CreateRevision, Lease: fpstore.LeaseID(kv.Lease),
+		Created: kv.CreateRevision, Lease: fpstore.LeaseID{Number: kv.Lease},
 	}
 }
--- a/internal/fpstandin/platform.go
+++ b/internal/fpstandin/platform.go
@@ -88,7 +88,7 @@
 	}
 	prefix, after := prefixAndStart(req.Key, req.RangeEnd)
 	page := p.Store.Range(prefix, after, time.Now())
-	res := fpplatform.RangeResponse{Header: fpplatform.Header{Revision: page.Revision}, More: page.More}
+	res := fpplatform.RangeResponse{Header: fpplatform.Header{Revision: page.Position.Revision}, More: page.More}
 	for _, i := range page.Items {
 		res.KeyValues = append(res.KeyValues, toKeyValue(i))
 	}
@@ -112,7 +112,7 @@
 
 func toKeyValue(i fpstore.Item) fpplatform.KeyValue {
 	return fpplatform.KeyValue{
-		Key: []byte(i.Key), Value: i.Value, CreateRevision: i.Created, ModRevision: i.Revision, Lease: int64(i.Lease),
+		Key: []byte(i.Key), Value: i.Value, CreateRevision: i.Created, ModRevision: i.Revision, Lease: i.Lease.Number,
 	}
 }
 
@@ -127,31 +127,31 @@
 			http.Error(w, "the value is too large", http.StatusRequestEntityTooLarge)
 			return
 		case o.Put != nil:
-			t.Puts = append(t.Puts, fpstore.Put{Key: string(o.Put.Key), Value: o.Put.Value, Lease: fpstore.LeaseID(o.Put.Lease)})
+			t.Puts = append(t.Puts, fpstore.Put{Key: string(o.Put.Key), Value: o.Put.Value, Lease: fpstore.LeaseID{Number: o.Put.Lease}})
 		case o.Delete != nil:
 			t.Deletes = append(t.Deletes, string(o.Delete.Key))
 		}
 	}
-	revision, err := p.Store.Commit(t, time.Now())
+	position, err := p.Store.Commit(t, time.Now())
 	if errors.Is(err, fpstore.ErrLeaseNotFound) {
 		http.Error(w, err.Error(), http.StatusNotFound)
 		return
 	}
-	writeJSON(w, fpplatform.TransactionResponse{Header: fpplatform.Header{Revision: revision}, Succeeded: err == nil})
+	writeJSON(w, fpplatform.TransactionResponse{Header: fpplatform.Header{Revision: position.Revision}, Succeeded: err == nil})
 }
 
 func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request, req fpplatform.WatchRequest) {
 	writeJSON(w, fpplatform.WatchResponse{Result: fpplatform.WatchResult{Created: true}})
 	_ = http.NewResponseController(w).Flush()
 	prefix, _ := prefixAndStart(req.Create.Key, req.Create.RangeEnd)
-	items, revision, err := p.Store.WaitForChanges(r.Context(), prefix, req.Create.StartRevision-1, watchTimeout)
+	items, position, err := p.Store.WaitForChanges(r.Context(), prefix, req.Create.StartRevision-1, watchTimeout)
 	if p.faults.currentFaults().Down {
 		panic(http.ErrAbortHandler)
 	}
-	result := fpplatform.WatchResult{Header: fpplatform.Header{Revision: revision}}
+	result := fpplatform.WatchResult{Header: fpplatform.Header{Revision: position.Revision}}
 	switch {
 	case errors.Is(err, fpstore.ErrCompacted):
-		result.Canceled, result.CompactRevision = true, revision
+		result.Canceled, result.CompactRevision = true, position.Revision
 	case err != nil:
 		return
 	default:
@@ -168,18 +168,18 @@
 
 func (p *Platform) serveLeaseGrant(w http.ResponseWriter, _ *http.Request, req fpplatform.LeaseRequest) {
 	id := p.Store.GrantLease(time.Duration(req.TTL)*time.Second, time.Now())
-	writeJSON(w, fpplatform.LeaseResponse{ID: int64(id), TTL: req.TTL})
+	writeJSON(w, fpplatform.LeaseResponse{ID: id.Number, TTL: req.TTL})
 }
 
 func (p *Platform) serveLeaseKeepAlive(w http.ResponseWriter, _ *http.Request, req fpplatform.LeaseRequest) {
 	// A lease that has expired or was revoked gets a TTL of zero.
-	ttl, _ := p.Store.RenewLease(fpstore.LeaseID(req.ID), time.Now())
+	ttl, _ := p.Store.RenewLease(fpstore.LeaseID{Number: req.ID}, time.Now())
 	res := fpplatform.LeaseResponse{ID: req.ID, TTL: int64(ttl / time.Second)}
 	writeJSON(w, fpplatform.KeepAliveResponse{Result: res})
 }
 
 func (p *Platform) serveLeaseRevoke(w http.ResponseWriter, _ *http.Request, req fpplatform.LeaseRequest) {
-	if err := p.Store.RevokeLease(fpstore.LeaseID(req.ID), time.Now()); err != nil {
+	if err := p.Store.RevokeLease(fpstore.LeaseID{Number: req.ID}, time.Now()); err != nil {
 		http.Error(w, err.Error(), http.StatusNotFound)
 		return
 	}
--- a/internal/fpstore/follower.go
+++ b/internal/fpstore/follower.go
@@ -31,7 +31,7 @@
 	Update struct {
 		Items    []Item
 		Complete bool
-		Revision int64
+		Position Position
 		SentAt   time.Duration
 		Err      error
 	}
@@ -80,7 +80,7 @@
 	for ctx.Err() == nil {
 		if u, ok := f.fetchFromPeer(ctx, after); ok {
 			f.Deliver(u)
-			after, backoff = u.Revision, initialBackoff
+			after, backoff = u.Position.Revision, initialBackoff
 			fpclock.Sleep(ctx, intervals().PeerInterval)
 			continue
 		}
@@ -102,7 +102,7 @@
 			backoff = min(2*backoff, intervals().MaxBackoff)
 			continue
 		default:
-			after = u.Revision
+			after = u.Position.Revision
 		}
 		backoff = initialBackoff
 		if len(u.Items) > 0 && !u.Complete && !fpclock.Sleep(ctx, intervals().BatchDelay) {
@@ -119,7 +119,7 @@
 		return Update{}, false
 	}
 	u, ok := f.FetchFromPeer(ctx, after)
-	u.Revision = max(u.Revision, after)
+	u.Position.Revision = max(u.Position.Revision, after)
 	return u, ok
 }
 
@@ -131,11 +131,12 @@
 	sentAt := f.Clock()
 	watchCtx, cancel := context.WithTimeout(ctx, wait+watchGracePeriod)
 	defer cancel()
-	items, revision, err := f.Store.Watch(watchCtx, f.Prefix, after, wait)
-	return Update{Items: items, Revision: max(revision, after), SentAt: sentAt, Err: err}
+	items, position, err := f.Store.Watch(watchCtx, f.Prefix, after, wait)
+	position.Revision = max(position.Revision, after)
+	return Update{Items: items, Position: position, SentAt: sentAt, Err: err}
 }
 
-// listAll reads all pages. The pages are no snapshot, so the revision is that of the first
+// listAll reads all pages. The pages are no snapshot, so the position is that of the first
 // page: the watch then also returns the changes made between two pages.
 func (f *Follower) listAll(ctx context.Context) Update {
 	u := Update{Complete: true, SentAt: f.Clock()}
@@ -148,7 +149,7 @@
 			return Update{Err: err}
 		}
 		if first {
-			u.Revision = p.Revision
+			u.Position = p.Position
 		}
 		u.Items = append(u.Items, p.Items...)
 		if !p.More || len(p.Items) == 0 {
--- a/internal/fpstore/follower_test.go
+++ b/internal/fpstore/follower_test.go
@@ -38,7 +38,7 @@
 				return fpstore.PollIntervals{WatchWait: time.Second, BatchDelay: peerInterval, PeerInterval: peerInterval, MaxBackoff: maxBackoff}
 			},
 			FetchFromPeer: func(_ context.Context, after int64) (fpstore.Update, bool) {
-				return fpstore.Update{Revision: after + 5, SentAt: clock()}, peerReachable
+				return fpstore.Update{Position: fpstore.Position{Revision: after + 5}, SentAt: clock()}, peerReachable
 			},
 		}
 		ctx, cancel := context.WithCancel(context.Background())
@@ -57,9 +57,9 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		is.True(time.Since(peerReachableSince) <= peerInterval+10*time.Millisecond)
-		last := updates[len(updates)-1].Revision
+		last := updates[len(updates)-1].Position.Revision
 		time.Sleep(2 * peerInterval)
-		is.True(updates[len(updates)-1].Revision > last)
+		is.True(updates[len(updates)-1].Position.Revision > last)
 		is.Equal(calls, 0)
 		cancel()
 		synctest.Wait()
--- a/internal/fpstore/fpstoretest/run.go
+++ b/internal/fpstore/fpstoretest/run.go
@@ -63,12 +63,12 @@
 func testReadAndWrite(ctx context.Context, is *is.I, s fpstore.Store, _ Control) {
 	_, err := s.Get(ctx, "k")
 	is.True(errors.Is(err, fpstore.ErrKeyNotFound))
-	revision, err := s.Commit(ctx, newPut("k", "\x00binary"))
+	position, err := s.Commit(ctx, newPut("k", "\x00binary"))
 	is.NoErr(err)
 	i, err := s.Get(ctx, "k")
 	is.NoErr(err)
 	is.Equal(string(i.Value), "\x00binary")
-	is.Equal(i.Revision, revision)
+	is.Equal(i.Revision, position.Revision)
 	_, err = s.Commit(ctx, fpstore.Transaction{Deletes: []string{"k"}})
 	is.NoErr(err)
 	_, err = s.Get(ctx, "k")
@@ -78,12 +78,12 @@
 func testConditions(ctx context.Context, is *is.I, s fpstore.Store, _ Control) {
 	create := newPut("k", "1")
 	create.Conditions = []fpstore.Condition{{Key: "k"}}
-	revision, err := s.Commit(ctx, create)
+	created, err := s.Commit(ctx, create)
 	is.NoErr(err)
 	_, err = s.Commit(ctx, create)
 	is.True(errors.Is(err, fpstore.ErrConflict))
 	change := newPut("k", "2")
-	change.Conditions = []fpstore.Condition{{Key: "k", Revision: revision}}
+	change.Conditions = []fpstore.Condition{{Key: "k", Revision: created.Revision}}
 	_, err = s.Commit(ctx, change)
 	is.NoErr(err)
 	_, err = s.Commit(ctx, change)
@@ -117,20 +117,20 @@
 	after, err := s.Commit(ctx, newPut("w", "1"))
 	is.NoErr(err)
 	start := time.Now()
-	items, revision, err := s.Watch(ctx, "w", after, 50*time.Millisecond)
+	items, position, err := s.Watch(ctx, "w", after.Revision, 50*time.Millisecond)
 	is.NoErr(err)
 	is.Equal(len(items), 0)
-	is.Equal(revision, after)
+	is.Equal(position, after)
 	is.True(time.Since(start) >= 50*time.Millisecond)
 	_, err = s.Commit(ctx, newPut("other", "1"))
 	is.NoErr(err)
 	last, err := s.Commit(ctx, fpstore.Transaction{Deletes: []string{"w", "missing"}})
 	is.NoErr(err)
-	items, revision, err = s.Watch(ctx, "w", after, time.Second)
+	items, position, err = s.Watch(ctx, "w", after.Revision, time.Second)
 	is.NoErr(err)
 	is.Equal(len(items), 1)
 	is.True(items[0].Deleted)
-	is.Equal(revision, last)
+	is.Equal(position, last)
 }
 
 // testWatchLeaseExpiry checks that a waiting watch returns keys deleted by the expiry of their
@@ -140,7 +140,7 @@
 	is.NoErr(err)
 	after, err := s.Commit(ctx, fpstore.Transaction{Puts: []fpstore.Put{{Key: "l/1", Value: []byte("v"), Lease: id}}})
 	is.NoErr(err)
-	items, _, err := s.Watch(ctx, "l/", after, 3*c.MinLeaseTTL)
+	items, _, err := s.Watch(ctx, "l/", after.Revision, 3*c.MinLeaseTTL)
 	is.NoErr(err)
 	is.Equal(len(items), 1)
 	is.Equal(items[0].Key, "l/1")
@@ -153,7 +153,7 @@
 	_, err = s.Commit(ctx, newPut("b", "1"))
 	is.NoErr(err)
 	c.Compact()
-	_, _, err = s.Watch(ctx, "", after, time.Second)
+	_, _, err = s.Watch(ctx, "", after.Revision, time.Second)
 	is.True(errors.Is(err, fpstore.ErrCompacted))
 }
 
--- a/internal/fpstore/store.go
+++ b/internal/fpstore/store.go
@@ -23,8 +23,19 @@
 )
 
 type (
-	// LeaseID identifies a lease; 0 means no lease.
-	LeaseID int64
+	// Position is a point in the store's history. A store that is restored from a copy starts a new
+	// incarnation, in which it assigns revisions and lease numbers again; only those of the same
+	// incarnation can be compared. Stores that do not name their incarnation have 0.
+	Position struct {
+		Incarnation int64
+		Revision    int64
+	}
+
+	// LeaseID identifies a lease; the zero value means no lease.
+	LeaseID struct {
+		Incarnation int64
+		Number      int64
+	}
 
 	// Item is a key with its value, or a tombstone if Deleted is set. Revision is that of
 	// the last change, Created that of the key's creation.
@@ -41,7 +52,7 @@
 	Page struct {
 		Items    []Item
 		More     bool
-		Revision int64
+		Position Position
 	}
 
 	// Condition requires that the key has the revision; 0 requires that it does not exist.
@@ -50,7 +61,7 @@
 		Revision int64
 	}
 
-	// Put writes a key and attaches it to Lease unless that is 0.
+	// Put writes a key and attaches it to Lease unless that is zero.
 	Put struct {
 		Key   string
 		Value []byte
@@ -71,10 +82,10 @@
 		// Range reads one page of the keys under a prefix that sort after the given key.
 		Range(ctx context.Context, prefix, after string) (Page, error)
 		// Watch returns the changes under a prefix after a revision, as soon as there
-		// are any or when the wait has elapsed, and the revision to continue from.
-		Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
-		// Commit applies a transaction and returns its revision.
-		Commit(ctx context.Context, t Transaction) (int64, error)
+		// are any or when the wait has elapsed, and the position to continue from.
+		Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, Position, error)
+		// Commit applies a transaction and returns its position.
+		Commit(ctx context.Context, t Transaction) (Position, error)
 		// GrantLease creates a lease.
 		GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
 		// RenewLease renews a lease.
@@ -94,8 +105,8 @@
 }
 
 // CompareAndSwap writes a key if its revision equals the given one, where 0 means that the
-// key must not exist, and returns its new revision.
-func CompareAndSwap(ctx context.Context, s Store, key string, revision int64, value []byte, lease LeaseID) (int64, error) {
+// key must not exist, and returns its new position.
+func CompareAndSwap(ctx context.Context, s Store, key string, revision int64, value []byte, lease LeaseID) (Position, error) {
 	return s.Commit(ctx, Transaction{
 		Conditions: []Condition{{Key: key, Revision: revision}},
 		Puts:       []Put{{Key: key, Value: value, Lease: lease}},
