--- /dev/null
+++ b/internal/fpgateway/restore_test.go
@@ -0,0 +1,91 @@
+package fpgateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
+	"github.com/fescuepoint/fescuepoint/internal/fpgateway"
+	"github.com/fescuepoint/fescuepoint/internal/fpmemory"
+	"github.com/fescuepoint/fescuepoint/platform/fpfake"
+)
+
+// restoreStore takes the store away, restores it from a copy, applies changes and brings it back.
+func (tc *testCluster) restoreStore(c *fpmemory.Store, change func()) {
+	tc.store.SetFault(fpfake.StoreFault{Status: http.StatusServiceUnavailable})
+	fpclock.Sleep(context.Background(), 200*time.Millisecond) // watches of before the fault end
+	tc.store.Restore(c)
+	change()
+	tc.store.SetFault(fpfake.StoreFault{})
+}
+
+// addRoute returns a configuration with one route more.
+func addRoute(version int, name string) map[string]any {
+	d := configDocument(version)
+	added := make(map[string]any)
+	for k, v := range d["routes"].([]any)[3].(map[string]any) {
+		added[k] = v
+	}
+	added["name"], added["prefix"] = name, "/"+name+"/"
+	d["routes"] = append(d["routes"].([]any), added)
+	return d
+}
+
+// TestRestoredStoreHidesNewRoute restores the store from a copy and adds a route under a revision that the
+// hosts saw before. All hosts must serve the route in time, whether they read the store themselves or
+// through another host, and whether the revision is assigned again before or after they ask.
+func TestRestoredStoreHidesNewRoute(t *testing.T) {
+	const bound = 3 * time.Second
+	tests := map[string]struct{ later bool }{
+		"revision assigned again before the hosts ask": {},
+		"revision assigned again after the hosts ask":  {later: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tc := prepareTestCluster(t)
+			tc.store.Put("op/config", configDocument(1))
+			other, _ := tc.addHost(func(*fpgateway.Settings) {})
+			hosts := []*testCluster{tc, other}
+			tc.waitFor(func() bool {
+				return strings.Contains(tc.logs.String()+other.logs.String(), "store read through a host")
+			}, "one reads through the other")
+			c := tc.store.Copy()
+			for v := 2; v <= 6; v++ {
+				tc.store.Put("op/config", configDocument(v))
+			}
+			for _, o := range hosts {
+				tc.waitFor(func() bool { return strings.Contains(o.linesWith("configuration in force"), `"ConfigVersion":6`) }, "version 6")
+			}
+			addedAt := fpclock.SinceBoot()
+			tc.restoreStore(c, func() {
+				tc.store.Put("op/config", configDocument(6))
+				if tt.later {
+					return
+				}
+				tc.store.Put("op/config", addRoute(7, "added"))
+				for i := range 5 {
+					tc.store.Put(fmt.Sprint("op/other/", i), "other")
+				}
+			})
+			if tt.later {
+				for _, o := range hosts {
+					tc.waitFor(func() bool { return o.linesWith("store reachable again") != "" }, "reachable again")
+				}
+				fpclock.Sleep(context.Background(), time.Second)
+				addedAt = fpclock.SinceBoot()
+				tc.store.Put("op/config", addRoute(7, "added"))
+			}
+			for _, o := range hosts {
+				tc.waitFor(func() bool { return o.sendRequest("added", nil).status == http.StatusOK }, "the route is served")
+				is.True(fpclock.SinceBoot()-addedAt < bound)
+			}
+		})
+	}
+}
