--- a/internal/fpgateway/restore_test.go
+++ b/internal/fpgateway/restore_test.go
@@ -75,10 +75,7 @@
 				}
 			})
 			if tt.later {
-				for _, o := range hosts {
-					tc.waitFor(func() bool { return o.linesWith("store reachable again") != "" }, "reachable again")
-				}
-				fpclock.Sleep(context.Background(), time.Second)
+				fpclock.Sleep(context.Background(), bound) // until all hosts have asked the store or each other
 				addedAt = fpclock.SinceBoot()
 				tc.store.Put("op/config", addRoute(7, "added"))
 			}
--- a/internal/fpmemory/store.go
+++ b/internal/fpmemory/store.go
@@ -35,7 +35,7 @@
 		// leases holds the leases by their number, which is what a caller names one by.
 		leases    map[int64]lease
 		lastLease int64
-		counts          Counts
+		counts    Counts
 	}
 
 	// Counts holds the number of calls of each kind.
