Positions in the store are compared only within one incarnation

Cause: a host resumed its watch, or its reads through another host, at a revision of before the restore. The store assigns revisions again, so what was written under numbers up to it was skipped, without an error. Positions now carry the incarnation: a watch answered in another one, a page of another one and a reader in another one all lead to a complete list.

--- a/internal/fpfeed/history.go
+++ b/internal/fpfeed/history.go
@@ -20,9 +20,9 @@
 	// History holds the latest changes that a host received; it is safe for concurrent use.
 	History struct {
 		mu sync.Mutex
-		// baseRevision is the revision after which changes is complete, revision the newest one.
+		// baseRevision is the revision after which changes is complete, position the newest one.
 		baseRevision int64
-		revision     int64
+		position     fpstore.Position
 		changes      []fpstore.Item
 		// valueBytes is the total size of the values in changes.
 		valueBytes int
@@ -32,10 +32,10 @@
 		listed bool
 	}
 
-	// ChangeSet holds all changes after a revision up to Revision.
+	// ChangeSet holds all changes after a position up to Position.
 	ChangeSet struct {
 		Items    []fpstore.Item
-		Revision int64
+		Position fpstore.Position
 		// SentAt is when the store call was sent that proved Items to be complete.
 		SentAt time.Duration
 	}
@@ -51,10 +51,10 @@
 	defer h.mu.Unlock()
 	h.sentAt = max(h.sentAt, u.SentAt)
 	if u.Complete {
-		h.baseRevision, h.revision, h.changes, h.valueBytes, h.listed = u.Position.Revision, u.Position.Revision, nil, 0, true
+		h.baseRevision, h.position, h.changes, h.valueBytes, h.listed = u.Position.Revision, u.Position, nil, 0, true
 		return
 	}
-	h.revision = max(h.revision, u.Position.Revision)
+	h.position.Revision = max(h.position.Revision, u.Position.Revision)
 	for _, i := range u.Items {
 		h.changes = append(h.changes, i)
 		h.valueBytes += len(i.Value)
@@ -75,14 +75,14 @@
 	}
 }
 
-// ChangesSince returns the changes after a revision. It returns false if they are
+// ChangesSince returns the changes after a position. It returns false if they are
 // not all in the history.
-func (h *History) ChangesSince(revision int64) (ChangeSet, bool) {
+func (h *History) ChangesSince(after fpstore.Position) (ChangeSet, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.listed || revision < h.baseRevision {
+	if !h.listed || after.Incarnation != h.position.Incarnation || after.Revision < h.baseRevision {
 		return ChangeSet{}, false
 	}
-	first, _ := slices.BinarySearchFunc(h.changes, revision+1, func(i fpstore.Item, r int64) int { return cmp.Compare(i.Revision, r) })
-	return ChangeSet{Items: slices.Clone(h.changes[first:]), Revision: h.revision, SentAt: h.sentAt}, true
+	first, _ := slices.BinarySearchFunc(h.changes, after.Revision+1, func(i fpstore.Item, r int64) int { return cmp.Compare(i.Revision, r) })
+	return ChangeSet{Items: slices.Clone(h.changes[first:]), Position: h.position, SentAt: h.sentAt}, true
 }
--- a/internal/fpfeed/history_test.go
+++ b/internal/fpfeed/history_test.go
@@ -25,17 +25,29 @@
 	list := fpstore.Update{Complete: true, Position: at(10), SentAt: time.Second}
 	tests := map[string]struct {
 		updates []fpstore.Update
-		after   int64
-		found   bool
-		items   int
-		sent    time.Duration
+		// incarnation is that of the position asked for.
+		incarnation int64
+		after       int64
+		found       bool
+		items       int
+		sent        time.Duration
 	}{
-		"no list yet":                 {after: 10},
-		"after the list":              {updates: []fpstore.Update{list}, after: 10, found: true, sent: time.Second},
-		"revision before the list":    {updates: []fpstore.Update{list}, after: 9},
-		"revision ahead of this host": {updates: []fpstore.Update{list}, after: 12, found: true, sent: time.Second},
-		"changes after the list":      {updates: []fpstore.Update{list, {Items: itemsInRange(11, 15, nil), Position: at(15), SentAt: 2 * time.Second}}, after: 12, found: true, items: 3, sent: 2 * time.Second},
-		"a failed update is ignored":  {updates: []fpstore.Update{list, {Err: fpstore.ErrRefused, SentAt: time.Hour, Position: at(99)}}, after: 10, found: true, sent: time.Second},
+		"no list yet":                    {after: 10},
+		"after the list":                 {updates: []fpstore.Update{list}, after: 10, found: true, sent: time.Second},
+		"revision before the list":       {updates: []fpstore.Update{list}, after: 9},
+		"revision ahead of this host":    {updates: []fpstore.Update{list}, after: 12, found: true, sent: time.Second},
+		"changes after the list":         {updates: []fpstore.Update{list, {Items: itemsInRange(11, 15, nil), Position: at(15), SentAt: 2 * time.Second}}, after: 12, found: true, items: 3, sent: 2 * time.Second},
+		"a position of before a restore": {updates: []fpstore.Update{list, {Complete: true, Position: fpstore.Position{Incarnation: 1, Revision: 8}}}, after: 10},
+		"a position of after a restore":  {updates: []fpstore.Update{list}, incarnation: 1, after: 10},
+		"changes after a restore": {
+			updates: []fpstore.Update{
+				list,
+				{Complete: true, Position: fpstore.Position{Incarnation: 1, Revision: 8}},
+				{Items: itemsInRange(9, 10, nil), Position: fpstore.Position{Incarnation: 1, Revision: 10}},
+			},
+			incarnation: 1, after: 8, found: true, items: 2, sent: time.Second,
+		},
+		"a failed update is ignored": {updates: []fpstore.Update{list, {Err: fpstore.ErrRefused, SentAt: time.Hour, Position: at(99)}}, after: 10, found: true, sent: time.Second},
 		"an older send time is ignored": {
 			updates: []fpstore.Update{list, {Position: at(10), SentAt: time.Millisecond}}, after: 10, found: true, sent: time.Second,
 		},
@@ -54,7 +66,7 @@
 			for _, u := range tt.updates {
 				h.ApplyUpdate(u)
 			}
-			changes, ok := h.ChangesSince(tt.after)
+			changes, ok := h.ChangesSince(fpstore.Position{Incarnation: tt.incarnation, Revision: tt.after})
 			is.Equal(ok, tt.found)
 			is.Equal(len(changes.Items), tt.items)
 			is.Equal(changes.SentAt, tt.sent)
--- a/internal/fpfeed/service.go
+++ b/internal/fpfeed/service.go
@@ -23,8 +23,8 @@
 )
 
 var (
-	// ErrHistoryTrimmed means that the peer no longer has all changes after the revision.
-	ErrHistoryTrimmed = errors.New("the changes after the revision are no longer known")
+	// ErrHistoryTrimmed means that the peer no longer has all changes after the position.
+	ErrHistoryTrimmed = errors.New("the changes after the position are not known")
 	// ErrUnreachable means that the peer gave no valid response.
 	ErrUnreachable = errors.New("the peer gave no valid response")
 )
@@ -37,13 +37,13 @@
 	}
 
 	changesRequest struct {
-		After int64
+		After fpstore.Position
 	}
 
 	changesResponse struct {
 		Host     string
-		Revision int64
-		// AgeMicroseconds is how long ago the store call that returned Revision was sent.
+		Position fpstore.Position
+		// AgeMicroseconds is how long ago the store call that returned Position was sent.
 		AgeMicroseconds int64
 		Items           []fpstore.Item
 	}
@@ -59,7 +59,7 @@
 			return nil, connect.NewError(connect.CodeOutOfRange, ErrHistoryTrimmed)
 		}
 		return connect.NewResponse(&changesResponse{
-			Host: host, Revision: changes.Revision, Items: changes.Items,
+			Host: host, Position: changes.Position, Items: changes.Items,
 			AgeMicroseconds: (clock() - changes.SentAt).Microseconds(),
 		}), nil
 	}
@@ -79,15 +79,15 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.httpClient.CloseIdleConnections() }
 
-// FetchChanges fetches the changes after a revision from the given host at an address.
+// FetchChanges fetches the changes after a position from the given host at an address.
 // The time in the result is on this host's clock. It is never later than the actual
 // time of the store call, even if either host was suspended meanwhile, because the
 // peer measured the age after this host had read its clock and sent the request.
-func (c *Client) FetchChanges(ctx context.Context, address, host string, revision int64) (ChangeSet, error) {
+func (c *Client) FetchChanges(ctx context.Context, address, host string, after fpstore.Position) (ChangeSet, error) {
 	requestedAt := c.clock()
 	client := connect.NewClient[changesRequest, changesResponse](c.httpClient, "http://"+address+changesProcedure,
 		connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxResponseBytes))
-	res, err := client.CallUnary(ctx, connect.NewRequest(&changesRequest{After: revision}))
+	res, err := client.CallUnary(ctx, connect.NewRequest(&changesRequest{After: after}))
 	switch {
 	case connect.CodeOf(err) == connect.CodeOutOfRange:
 		return ChangeSet{}, ErrHistoryTrimmed
@@ -99,7 +99,7 @@
 		return ChangeSet{}, errors.Mark(errors.New("negative age in the response"), ErrUnreachable)
 	}
 	age := time.Duration(res.Msg.AgeMicroseconds) * time.Microsecond
-	return ChangeSet{Items: res.Msg.Items, Revision: res.Msg.Revision, SentAt: requestedAt - age}, nil
+	return ChangeSet{Items: res.Msg.Items, Position: res.Msg.Position, SentAt: requestedAt - age}, nil
 }
 
 // Name returns the codec's name, which connect puts into the content type.
--- a/internal/fpfeed/service_test.go
+++ b/internal/fpfeed/service_test.go
@@ -29,7 +29,7 @@
 		"changes and age": {after: 10, host: "peer", check: func(is *is.I, changes ChangeSet, err error) {
 			is.NoErr(err)
 			is.Equal(changes.Items, change.Items)
-			is.Equal(changes.Revision, int64(12))
+			is.Equal(changes.Position, at(12))
 			is.Equal(changes.SentAt, localNow-400*time.Millisecond)
 		}},
 		"no changes": {after: 12, host: "peer", check: func(is *is.I, changes ChangeSet, err error) {
@@ -61,7 +61,7 @@
 			defer s.Close()
 			c := NewClient(func() time.Duration { return now })
 			defer c.Close()
-			changes, err := c.FetchChanges(context.Background(), s.Listener.Addr().String(), tt.host, tt.after)
+			changes, err := c.FetchChanges(context.Background(), s.Listener.Addr().String(), tt.host, at(tt.after))
 			tt.check(is.New(t), changes, err)
 		})
 	}
@@ -73,6 +73,6 @@
 	s := httptest.NewServer(http.NotFoundHandler())
 	address := s.Listener.Addr().String()
 	s.Close()
-	_, err := c.FetchChanges(context.Background(), address, "peer", 1)
+	_, err := c.FetchChanges(context.Background(), address, "peer", at(1))
 	is.New(t).True(errors.Is(err, ErrUnreachable))
 }
--- a/internal/fpgateway/peerread.go
+++ b/internal/fpgateway/peerread.go
@@ -129,8 +129,8 @@
 	return now < r.skippedUntil[name]
 }
 
-// readFromPeer reads the changes after a revision from a host of the zone that reads the store.
-func (g *Gateway) readFromPeer(ctx context.Context, after int64) (fpstore.Update, bool) {
+// readFromPeer reads the changes after a position from a host of the zone that reads the store.
+func (g *Gateway) readFromPeer(ctx context.Context, after fpstore.Position) (fpstore.Update, bool) {
 	if !g.settings().allowsSharedReads() {
 		return fpstore.Update{}, false
 	}
@@ -149,7 +149,7 @@
 			delete(g.storeReaders.skippedUntil, name)
 			g.metrics.AddToCounter("news_taken", 1)
 			g.recordReadSource(name, "", age)
-			return fpstore.Update{Items: changes.Items, Position: fpstore.Position{Revision: changes.Revision}, SentAt: changes.SentAt}, true
+			return fpstore.Update{Items: changes.Items, Position: changes.Position, SentAt: changes.SentAt}, true
 		}
 		if ctx.Err() != nil {
 			break
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -106,9 +106,9 @@
 
 // applyUpdate applies an update of the store.
 func (c *controlState) applyUpdate(u fpstore.Update, now time.Duration) {
-	if errors.Is(u.Err, fpstore.ErrCompacted) {
+	if errors.IsAny(u.Err, fpstore.ErrCompacted, fpstore.ErrRestored) {
 		// The store is reachable; the follower reads the complete list next.
-		c.gateway.log("store history compacted", "ProofAge", c.gateway.formatProofAge(now))
+		c.gateway.log("store listed again", "Reason", u.Err.Error(), "ProofAge", c.gateway.formatProofAge(now))
 		return
 	}
 	if u.Err != nil {
--- a/internal/fpstore/follower.go
+++ b/internal/fpstore/follower.go
@@ -57,16 +57,17 @@
 		Clock  fpclock.Clock
 		// Intervals returns the current intervals; nil means the defaults.
 		Intervals func() PollIntervals
-		// FetchFromPeer fetches the changes after a revision from a peer instead of the store.
+		// FetchFromPeer fetches the changes after a position from a peer instead of the store.
 		// If it is nil or returns false, the follower calls the store.
-		FetchFromPeer func(ctx context.Context, after int64) (Update, bool)
+		FetchFromPeer func(ctx context.Context, after Position) (Update, bool)
 		// Deliver is called from Run with each update, in order.
 		Deliver func(Update)
 	}
 )
 
 // Run lists the prefix once and then watches it until the context ends. It lists
-// the prefix again if the store compacted the history in the meantime.
+// the prefix again if the store compacted the history in the meantime, or was restored
+// from a copy.
 func (f *Follower) Run(ctx context.Context) error {
 	intervals := f.Intervals
 	if intervals == nil {
@@ -74,35 +75,43 @@
 			return PollIntervals{WatchWait: defaultWatchWait, BatchDelay: defaultBatchDelay, PeerInterval: defaultPeerInterval, MaxBackoff: defaultMaxBackoff}
 		}
 	}
-	after := int64(-1)
+	var after Position
+	listed := false
 	backoff := initialBackoff
 	retryAt := f.Clock()
 	for ctx.Err() == nil {
-		if u, ok := f.fetchFromPeer(ctx, after); ok {
-			f.Deliver(u)
-			after, backoff = u.Position.Revision, initialBackoff
-			fpclock.Sleep(ctx, intervals().PeerInterval)
-			continue
+		if listed {
+			if u, ok := f.fetchFromPeer(ctx, after); ok {
+				f.Deliver(u)
+				after, backoff = u.Position, initialBackoff
+				fpclock.Sleep(ctx, intervals().PeerInterval)
+				continue
+			}
 		}
 		if remaining := retryAt - f.Clock(); remaining > 0 {
 			// A peer may reach the store before this host's backoff is over.
 			fpclock.Sleep(ctx, min(remaining, intervals().PeerInterval))
 			continue
 		}
-		u := f.fetchUpdate(ctx, after, intervals().WatchWait)
+		var u Update
+		if listed {
+			u = f.watch(ctx, after, intervals().WatchWait)
+		} else {
+			u = f.listAll(ctx)
+		}
 		if ctx.Err() != nil {
 			return nil
 		}
 		f.Deliver(u)
 		switch {
-		case errors.Is(u.Err, ErrCompacted):
-			after = -1
+		case errors.IsAny(u.Err, ErrCompacted, ErrRestored):
+			listed = false
 		case u.Err != nil:
 			retryAt = f.Clock() + backoff
 			backoff = min(2*backoff, intervals().MaxBackoff)
 			continue
 		default:
-			after = u.Position.Revision
+			after, listed = u.Position, true
 		}
 		backoff = initialBackoff
 		if len(u.Items) > 0 && !u.Complete && !fpclock.Sleep(ctx, intervals().BatchDelay) {
@@ -112,27 +121,30 @@
 	return nil
 }
 
-// fetchFromPeer returns the changes after a revision from a peer. The initial list
+// fetchFromPeer returns the changes after a position from a peer. The initial list
 // always comes from the store.
-func (f *Follower) fetchFromPeer(ctx context.Context, after int64) (Update, bool) {
-	if f.FetchFromPeer == nil || after < 0 {
+func (f *Follower) fetchFromPeer(ctx context.Context, after Position) (Update, bool) {
+	if f.FetchFromPeer == nil {
 		return Update{}, false
 	}
 	u, ok := f.FetchFromPeer(ctx, after)
-	u.Position.Revision = max(u.Position.Revision, after)
-	return u, ok
+	if !ok || u.Position.Incarnation != after.Incarnation {
+		return Update{}, false
+	}
+	u.Position.Revision = max(u.Position.Revision, after.Revision)
+	return u, true
 }
 
-// fetchUpdate returns the store's next update after a revision; -1 requests a complete list.
-func (f *Follower) fetchUpdate(ctx context.Context, after int64, wait time.Duration) Update {
-	if after < 0 {
-		return f.listAll(ctx)
-	}
+// watch returns the store's next changes after a position.
+func (f *Follower) watch(ctx context.Context, after Position, wait time.Duration) Update {
 	sentAt := f.Clock()
 	watchCtx, cancel := context.WithTimeout(ctx, wait+watchGracePeriod)
 	defer cancel()
-	items, position, err := f.Store.Watch(watchCtx, f.Prefix, after, wait)
-	position.Revision = max(position.Revision, after)
+	items, position, err := f.Store.Watch(watchCtx, f.Prefix, after.Revision, wait)
+	if err == nil && position.Incarnation != after.Incarnation {
+		return Update{Err: ErrRestored}
+	}
+	position.Revision = max(position.Revision, after.Revision)
 	return Update{Items: items, Position: position, SentAt: sentAt, Err: err}
 }
 
@@ -148,8 +160,11 @@
 		if err != nil {
 			return Update{Err: err}
 		}
-		if first {
+		switch {
+		case first:
 			u.Position = p.Position
+		case p.Position.Incarnation != u.Position.Incarnation:
+			return Update{Err: ErrRestored}
 		}
 		u.Items = append(u.Items, p.Items...)
 		if !p.More || len(p.Items) == 0 {
--- a/internal/fpstore/store.go
+++ b/internal/fpstore/store.go
@@ -14,6 +14,8 @@
 	ErrConflict = errors.New("a condition of the transaction does not hold")
 	// ErrCompacted means that the history after the given revision has been compacted.
 	ErrCompacted = errors.New("the history is no longer available")
+	// ErrRestored means that the store was restored from a copy: earlier positions are void.
+	ErrRestored = errors.New("the store was restored from a copy")
 	// ErrLeaseNotFound means that the lease has expired or was revoked.
 	ErrLeaseNotFound = errors.New("the lease has ended")
 	// ErrRefused means that the store rejected the call and wrote nothing.
