Leases and fencing tokens of a restored store are told from those of before

Cause: as for positions: tokens and leases were numbers of one incarnation taken for numbers of the store. A successor could also acquire the lease while its predecessor, whose lease the copy lacks, still relied on it. Tokens now rise with the incarnation first; a lease of an earlier incarnation has ended whatever its number; the order lease is acquired only once an incarnation is known for the lease's time to live.

--- a/internal/fpgateway/restore_test.go
+++ b/internal/fpgateway/restore_test.go
@@ -86,3 +86,73 @@
 		})
 	}
 }
+
+// TestRestoredStoreReissuesFencingToken restores the store from a copy that lacks the order lease. The next
+// holder's fencing tokens must be higher than those of before, and it must not order before the former
+// holder's lease has ended at every host.
+func TestRestoredStoreReissuesFencingToken(t *testing.T) {
+	is := is.New(t)
+	tc := prepareTestCluster(t)
+	tc.store.Put("op/config", configDocument(1))
+	c := tc.store.Copy()
+	for i := range 100 {
+		tc.store.Put(fmt.Sprint("op/other/", i), "other")
+	}
+	other, _ := tc.addHost(func(*fpgateway.Settings) {})
+	orders := func(version int64) []fpfake.AcceptedOrder {
+		var out []fpfake.AcceptedOrder
+		for _, e := range tc.engines {
+			for _, o := range e.AcceptedOrders() {
+				if o.Version == version {
+					out = append(out, o)
+				}
+			}
+		}
+		return out
+	}
+	loaded := func(version int64) func() bool {
+		return func() bool { return len(orders(version)) == len(tc.engines) }
+	}
+	tc.waitFor(func() bool { return strings.Contains(tc.logs.String()+other.logs.String(), "order lease acquired") }, "the order lease")
+	tc.store.Put("op/version/m", map[string]any{"model": "m", "version": 2})
+	tc.waitFor(loaded(2), "version 2 loaded")
+	var restored time.Time
+	tc.restoreStore(c, func() {
+		restored = time.Now()
+		tc.store.Put("op/version/m", map[string]any{"model": "m", "version": 3})
+	})
+	tc.waitFor(func() bool { return len(orders(3)) > 0 }, "an order for version 3")
+	is.True(time.Since(restored) >= tc.hostSettings.OrderLeaseTTL)
+	tc.waitFor(loaded(3), "version 3 loaded")
+	for _, former := range orders(2) {
+		for _, o := range orders(3) {
+			is.True(o.FencingToken > former.FencingToken)
+		}
+	}
+}
+
+// TestRestoredStoreReissuesLease restores the store from a copy that lacks the hosts' leases, whose numbers
+// are then assigned again. Each host must register anew.
+func TestRestoredStoreReissuesLease(t *testing.T) {
+	tc := prepareTestCluster(t)
+	tc.store.Put("op/config", configDocument(1))
+	c := tc.store.Copy()
+	other, _ := tc.addHost(func(*fpgateway.Settings) {})
+	registered := func() bool {
+		_, ok := tc.store.GetString("fescuepoint/hosts/h1")
+		_, otherOK := tc.store.GetString("fescuepoint/hosts/h2")
+		return ok && otherOK
+	}
+	tc.waitFor(registered, "both hosts registered")
+	tc.restoreStore(c, func() {
+		for range 8 {
+			tc.store.GrantLease(time.Minute) // somebody else's
+		}
+	})
+	tc.waitFor(registered, "both hosts registered anew")
+	for _, o := range []*testCluster{tc, other} {
+		if o.linesWith("lease not revoked") != "" {
+			t.Error("a host revoked a lease that is not its own")
+		}
+	}
+}
--- a/internal/fpgateway/rollout.go
+++ b/internal/fpgateway/rollout.go
@@ -109,8 +109,11 @@
 		// A replica refused an order as fenced: another host holds the lease by now.
 		r.dropLease("a replica has seen a higher fencing token")
 	}
+	if r.holdsLease() && r.leaseID.Incarnation < s.incarnation {
+		r.dropLease(fpstore.ErrRestored.Error())
+	}
 	if !r.holdsLease() {
-		if s.catalog == nil || s.orderLeaseHolder != "" || s.storeUnreachable {
+		if s.catalog == nil || s.orderLeaseHolder != "" || s.storeUnreachable || !r.formerLeaseEnded(s, now) {
 			return false
 		}
 		if now < r.retryAt || !fpclock.Sleep(ctx, rand.N(maxAcquireJitter)) {
@@ -145,7 +148,8 @@
 // write, which increases with each holder.
 func (r *rollout) acquireLease(ctx context.Context) bool {
 	g := r.gateway
-	if s := g.snapshot.Load(); s.orderLeaseHolder != "" {
+	s := g.snapshot.Load()
+	if s.orderLeaseHolder != "" {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
@@ -164,7 +168,11 @@
 		g.log("order lease not acquired", "Error", err.Error())
 		return false
 	}
-	fence := position.Revision
+	if position.Incarnation != id.Incarnation || id.Incarnation != s.incarnation {
+		g.log("order lease not acquired", "Error", fpstore.ErrRestored.Error())
+		return false
+	}
+	fence := position.FencingToken()
 	r.leaseID, r.lastRenewal = id, sent
 	r.mu.Lock()
 	r.lease = fporder.Lease{FencingToken: fence, AcquiredAt: g.clock(), ExpiresAt: sent + g.settings().OrderLeaseTTL}
@@ -173,6 +181,12 @@
 	return true
 }
 
+// formerLeaseEnded reports whether any lease of an earlier incarnation of the store has ended at its
+// holder too, which may not have learnt yet that the store was restored.
+func (r *rollout) formerLeaseEnded(s *snapshot, now time.Duration) bool {
+	return now-s.incarnationSince >= r.gateway.settings().OrderLeaseTTL
+}
+
 // holdsLease reports whether this host holds the order lease as far as it knows.
 func (r *rollout) holdsLease() bool { return r.leaseID != (fpstore.LeaseID{}) }
 
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -45,8 +45,10 @@
 		proof fpfresh.Proof
 		// orderLeaseHolder is the holder of the order lease according to the store, "" for none.
 		orderLeaseHolder string
-		// incarnation is the store's, as of the last complete list.
-		incarnation int64
+		// incarnation is the store's, as of the last complete list, and incarnationSince when this host
+		// learnt it.
+		incarnation      int64
+		incarnationSince time.Duration
 	}
 
 	// hostEntry is a host's entry in the store; the address is nil when the host receives no
@@ -89,6 +91,9 @@
 		// orderLeaseHolder is the holder of the order lease, "" for none.
 		orderLeaseHolder string
 		storeUnreachable bool
+		// incarnation is the store's, which this host has known since incarnationSince.
+		incarnation      int64
+		incarnationSince time.Duration
 	}
 )
 
@@ -132,14 +137,20 @@
 	c.proof = c.proof.WithAnswer(u.SentAt)
 }
 
-// recordIncarnation logs that the store was restored from a copy.
-func (c *controlState) recordIncarnation(p fpstore.Position, now time.Duration) {
-	if known := c.proof != (fpfresh.Proof{}); known && p.Incarnation != c.incarnation {
+// recordIncarnation records the store's incarnation from a complete list and reports whether the store was
+// restored from a copy since the last one.
+func (c *controlState) recordIncarnation(p fpstore.Position, now time.Duration) bool {
+	_, known := c.proof.Age(now)
+	if known && p.Incarnation == c.incarnation {
+		return false
+	}
+	if known {
 		c.gateway.log("store restored from a copy", "Incarnation", p.Incarnation, "Former", c.incarnation, "Revision", p.Revision,
 			"ProofAge", c.gateway.formatProofAge(now))
 	}
-	c.incarnation = p.Incarnation
+	c.incarnation, c.incarnationSince = p.Incarnation, now
 	c.gateway.metrics.SetGauge("store_incarnation", float64(p.Incarnation))
+	return known
 }
 
 func (c *controlState) markStoreUnreachable(err error, now time.Duration) {
@@ -330,6 +341,8 @@
 
 		orderLeaseHolder: c.orderLeaseHolder,
 		storeUnreachable: c.storeUnreachable,
+		incarnation:      c.incarnation,
+		incarnationSince: c.incarnationSince,
 	}
 	s.cacheStores = c.cacheStores()
 	s.hostCount = len(c.hosts)
--- a/internal/fphost/rollout.go
+++ b/internal/fphost/rollout.go
@@ -82,7 +82,7 @@
 	}
 	r.leaseID = leaseID
 	r.renewedAt = start
-	r.lease = fporder.Lease{FencingToken: position.Revision, AcquiredAt: fpclock.SinceBoot(), ExpiresAt: start + fporder.LeaseTTL}
+	r.lease = fporder.Lease{FencingToken: position.FencingToken(), AcquiredAt: fpclock.SinceBoot(), ExpiresAt: start + fporder.LeaseTTL}
 	return true
 }
 
--- a/internal/fpstore/store.go
+++ b/internal/fpstore/store.go
@@ -7,6 +7,10 @@
 	"github.com/cockroachdb/errors"
 )
 
+// revisionBits is the width of the revision in a fencing token; tokens of thousands of incarnations are
+// still whole numbers in a float64.
+const revisionBits = 40
+
 var (
 	// ErrKeyNotFound means that the key does not exist.
 	ErrKeyNotFound = errors.New("the key does not exist")
@@ -88,7 +92,8 @@
 		Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, Position, error)
 		// Commit applies a transaction and returns its position.
 		Commit(ctx context.Context, t Transaction) (Position, error)
-		// GrantLease creates a lease.
+		// GrantLease creates a lease. One of an earlier incarnation has ended, also if its number was
+		// assigned again: calls that name it return ErrLeaseNotFound.
 		GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
 		// RenewLease renews a lease.
 		RenewLease(ctx context.Context, lease LeaseID) error
@@ -97,6 +102,9 @@
 	}
 )
 
+// FencingToken returns a number that rises with the position, also from one incarnation to the next.
+func (p Position) FencingToken() int64 { return p.Incarnation<<revisionBits + p.Revision }
+
 // GetOrZero is like Get but returns an Item with revision 0 for a missing key.
 func GetOrZero(ctx context.Context, s Store, key string) (Item, error) {
 	i, err := s.Get(ctx, key)
