Replica entries of a restored store neither hide changes nor undo a drain

What would have been seen: a replica that reports draining after a restore keeps getting requests, since the revision of its entry is lower than the one known from before (DRAIN); one that was draining or gone is used again when the copy lists it as ready; one that the copy lacks is dropped at once where the outage was too short to be missed. Cause: entries were ordered by revisions of different incarnations, and a list was taken for newer than what was known.

--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -122,8 +122,9 @@
 	}
 	c.markStoreReachable(now)
 	var listed []fpfleet.Replica
+	restored := false
 	if u.Complete {
-		c.recordIncarnation(u.Position, now)
+		restored = c.recordIncarnation(u.Position, now)
 		clear(c.hosts)
 		c.gateway.releaseUnlisted(u.Items)
 		c.orderLeaseHolder = ""
@@ -131,7 +132,10 @@
 	for _, i := range u.Items {
 		c.applyItem(i, now, u.Complete, &listed)
 	}
-	if u.Complete {
+	switch {
+	case restored:
+		c.fleet.RestoreAll(listed, now)
+	case u.Complete:
 		c.fleet.ReplaceAll(listed, now)
 	}
 	c.proof = c.proof.WithAnswer(u.SentAt)
--- a/pkg/fpfleet/fleet_test.go
+++ b/pkg/fpfleet/fleet_test.go
@@ -72,3 +72,90 @@
 	f.Put(Replica{ID: "a", Revision: 4})
 	is.True(f.Replicas()[0].Draining)
 }
+
+// TestRestoreAll checks what a fleet makes of the first list of a store that was restored from a copy.
+func TestRestoreAll(t *testing.T) {
+	const restoredAt = time.Minute
+	ready := Replica{ID: "a", StartUnixMilli: 7, Revision: 50}
+	draining := ready
+	draining.Draining = true
+	restarted := ready
+	restarted.StartUnixMilli = 8
+	copied := func(r Replica) Replica {
+		r.Revision = 20
+		return r
+	}
+	tests := map[string]struct {
+		before func(*Fleet)
+		list   []Replica
+		after  func(*Fleet)
+		// found and draining are the expectations at wait after the restore.
+		wait            time.Duration
+		found, draining bool
+	}{
+		"a change under a revision that was known before": {
+			before: func(f *Fleet) { f.Put(ready) }, list: []Replica{copied(ready)},
+			after: func(f *Fleet) {
+				r := draining
+				r.Revision = 21
+				f.Put(r)
+			},
+			found: true, draining: true,
+		},
+		"a removal under a revision that was known before": {
+			before: func(f *Fleet) { f.Put(ready) }, list: []Replica{copied(ready)},
+			after: func(f *Fleet) { f.Remove("a", 21, restoredAt+3*time.Second) },
+		},
+		"the copy does not know that it drains": {
+			before: func(f *Fleet) { f.Put(draining) }, list: []Replica{copied(ready)}, wait: time.Hour, found: true, draining: true,
+		},
+		"started again after it drained": {
+			before: func(f *Fleet) { f.Put(draining) }, list: []Replica{copied(restarted)}, found: true,
+		},
+		"not in the copy, within the grace period": {
+			before: func(f *Fleet) { f.Put(ready) }, wait: StoreReturnGrace - 1, found: true,
+		},
+		"not in the copy": {before: func(f *Fleet) { f.Put(ready) }, wait: StoreReturnGrace},
+		"the copy does not know that it was removed": {
+			before: func(f *Fleet) { f.Put(ready); f.Remove("a", 51, time.Second) }, list: []Replica{copied(ready)},
+			wait: RevivedEntryDoubt - 1, found: true, draining: true,
+		},
+		"removed, still listed after the doubt": {
+			before: func(f *Fleet) { f.Put(ready); f.Remove("a", 51, time.Second) }, list: []Replica{copied(ready)},
+			wait: RevivedEntryDoubt, found: true,
+		},
+		"removed, registered again after the restore": {
+			before: func(f *Fleet) { f.Put(ready); f.Remove("a", 51, time.Second) }, list: []Replica{copied(ready)},
+			after: func(f *Fleet) {
+				r := ready
+				r.Revision = 21
+				f.Put(r)
+			},
+			found: true,
+		},
+		"removed again during the doubt": {
+			before: func(f *Fleet) { f.Put(ready); f.Remove("a", 51, time.Second) }, list: []Replica{copied(ready)},
+			after: func(f *Fleet) { f.Remove("a", 21, restoredAt) },
+		},
+		"started again after it was removed": {
+			before: func(f *Fleet) { f.Put(ready); f.Remove("a", 51, time.Second) }, list: []Replica{copied(restarted)}, found: true,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := New()
+			tt.before(f)
+			f.RestoreAll(tt.list, restoredAt)
+			if tt.after != nil {
+				tt.after(f)
+			}
+			f.DropExpired(restoredAt + tt.wait)
+			replicas := f.Replicas()
+			is.Equal(len(replicas) == 1, tt.found)
+			if tt.found {
+				is.Equal(replicas[0].Draining, tt.draining)
+			}
+		})
+	}
+}
