Hosts that a restored store lacks count until they could register again

Cause: the first list after a restore was taken for all hosts there are; those whose lease the copy lacks register again only at their next renewal. Unlisted hosts are kept for the time to live of their lease.

--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -36,6 +36,8 @@
 		startTimes       map[string]int64
 		publishedWeights map[string][]publishedVersion
 		hosts            map[string]hostEntry
+		// unlistedUntil holds the time until which a host is kept that a restored store did not list.
+		unlistedUntil map[string]time.Duration
 		// reportedVersions holds the weights versions that replicas reported, by replica ID.
 		reportedVersions map[string]int64
 		// loadingUntil holds the time until which a replica is assumed to be loading weights.
@@ -104,6 +106,7 @@
 		startTimes:       make(map[string]int64),
 		publishedWeights: make(map[string][]publishedVersion),
 		hosts:            make(map[string]hostEntry),
+		unlistedUntil:    make(map[string]time.Duration),
 		reportedVersions: make(map[string]int64),
 		loadingUntil:     make(map[string]time.Duration),
 	}
@@ -125,7 +128,7 @@
 	restored := false
 	if u.Complete {
 		restored = c.recordIncarnation(u.Position, now)
-		clear(c.hosts)
+		c.clearHosts(restored, now)
 		c.gateway.releaseUnlisted(u.Items)
 		c.orderLeaseHolder = ""
 	}
@@ -157,6 +160,29 @@
 	return known
 }
 
+// clearHosts drops the hosts before a complete list. After a restore they are kept until they had the time
+// to register again, since what each may use is a share that grows as hosts go missing.
+func (c *controlState) clearHosts(restored bool, now time.Duration) {
+	clear(c.unlistedUntil)
+	if !restored {
+		clear(c.hosts)
+		return
+	}
+	for name := range c.hosts {
+		c.unlistedUntil[name] = now + hostLeaseTTL
+	}
+}
+
+// dropUnlistedHosts drops the hosts that have not registered again in time after a restore.
+func (c *controlState) dropUnlistedHosts(now time.Duration) {
+	for name, until := range c.unlistedUntil {
+		if now >= until {
+			delete(c.unlistedUntil, name)
+			delete(c.hosts, name)
+		}
+	}
+}
+
 func (c *controlState) markStoreUnreachable(err error, now time.Duration) {
 	if !c.storeUnreachable {
 		c.storeUnreachable = true
@@ -219,6 +245,7 @@
 // applyHostEntry applies a change of a host's entry.
 func (c *controlState) applyHostEntry(i fpstore.Item) {
 	name := i.Key[len(hostKeyPrefix):]
+	delete(c.unlistedUntil, name)
 	if i.Deleted {
 		delete(c.hosts, name)
 		return
@@ -335,6 +362,7 @@
 // buildSnapshot returns a snapshot of the current state.
 func (c *controlState) buildSnapshot(now time.Duration, draining bool) *snapshot {
 	c.fleet.DropExpired(now)
+	c.dropUnlistedHosts(now)
 	s := &snapshot{
 		catalog:           c.catalog,
 		proof:             c.proof,
--- a/internal/fpgateway/state_test.go
+++ b/internal/fpgateway/state_test.go
@@ -95,3 +95,42 @@
 		})
 	}
 }
+
+// TestRestoredStoreLacksHosts checks that hosts which a restored store does not list still count until
+// they had the time to register again, and not after a history that was only compacted.
+func TestRestoredStoreLacksHosts(t *testing.T) {
+	item := func(name string) fpstore.Item {
+		return fpstore.Item{Key: hostKeyPrefix + name, Value: []byte("127.0.0.1:1 r z"), Revision: 5}
+	}
+	list := func(incarnation int64, names ...string) fpstore.Update {
+		u := fpstore.Update{Complete: true, Position: fpstore.Position{Incarnation: incarnation, Revision: 9}}
+		for _, n := range names {
+			u.Items = append(u.Items, item(n))
+		}
+		return u
+	}
+	deleted := func(name string) fpstore.Update {
+		return fpstore.Update{Items: []fpstore.Item{{Key: hostKeyPrefix + name, Deleted: true}}}
+	}
+	tests := map[string]struct {
+		updates []fpstore.Update
+		wait    time.Duration
+		want    int
+	}{
+		"restored without one host":     {updates: []fpstore.Update{list(1, "a", "b"), list(2, "a")}, wait: hostLeaseTTL - 1, want: 2},
+		"restored, not back in time":    {updates: []fpstore.Update{list(1, "a", "b"), list(2, "a")}, wait: hostLeaseTTL, want: 1},
+		"restored, back in time":        {updates: []fpstore.Update{list(1, "a", "b"), list(2, "a"), {Items: []fpstore.Item{item("b")}}}, wait: hostLeaseTTL, want: 2},
+		"restored, then deleted":        {updates: []fpstore.Update{list(1, "a", "b"), list(2, "a"), deleted("b")}, want: 1},
+		"a compacted history":           {updates: []fpstore.Update{list(1, "a", "b"), list(1, "a")}, want: 1},
+		"a compacted one after restore": {updates: []fpstore.Update{list(1, "a", "b"), list(2, "a"), list(2, "a")}, want: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newControlState(New(Settings{}.WithDefaults(), Dependencies{Clock: fpclock.SinceBoot, Log: fplog.NewQueue(&bytes.Buffer{})}))
+			for _, u := range tt.updates {
+				c.applyUpdate(u, time.Minute)
+			}
+			is.New(t).Equal(c.buildSnapshot(time.Minute+tt.wait, false).hostCount, tt.want)
+		})
+	}
+}
