A restored store does not release prompt parts in quarantine

What would have been seen: after a restore every host sends requests with a deadly part to replicas again, and hosts that start later never learn it. Cause: an entry missing from a list was taken for an operator's deletion; the copy just lacks it. After a restore such parts stay in quarantine and their entries are written again.

--- a/internal/fpgateway/quarantine.go
+++ b/internal/fpgateway/quarantine.go
@@ -268,13 +268,19 @@
 		}
 	}
 	if _, stored := g.quarantine.revisions[id]; !stored {
-		delay := rand.N(time.Duration(g.snapshot.Load().hostCount+1) * storeDelayPerHost)
-		g.quarantine.writeAt[id] = g.clock() + delay
+		g.scheduleStoreWrite(id)
 	}
 	g.mu.Unlock()
 	g.log("prompt part quarantined", "Part", id, "Source", source, "Ended", ended)
 }
 
+// scheduleStoreWrite has a part written to the store, unless another host does so before. The gateway's
+// mutex must be held.
+func (g *Gateway) scheduleStoreWrite(id string) {
+	delay := rand.N(time.Duration(g.snapshot.Load().hostCount+1) * storeDelayPerHost)
+	g.quarantine.writeAt[id] = g.clock() + delay
+}
+
 // releasePart ends a part's quarantine.
 func (g *Gateway) releasePart(id, reason string) {
 	g.mu.Lock()
@@ -303,8 +309,9 @@
 	g.quarantinePart(id, "store")
 }
 
-// releaseUnlisted releases the parts whose entry is missing from a complete list of the store.
-func (g *Gateway) releaseUnlisted(items []fpstore.Item) {
+// applyUnlistedParts releases the parts whose entry is missing from a complete list of the store. After a
+// restore from a copy nobody deleted them: they are written again.
+func (g *Gateway) applyUnlistedParts(items []fpstore.Item, restored bool) {
 	listed := make(map[string]bool)
 	for _, i := range items {
 		if id, ok := strings.CutPrefix(i.Key, quarantineKeyPrefix); ok {
@@ -316,7 +323,11 @@
 	for id := range g.quarantine.revisions {
 		if !listed[id] {
 			delete(g.quarantine.revisions, id)
-			gone = append(gone, id)
+			if restored {
+				g.scheduleStoreWrite(id)
+			} else {
+				gone = append(gone, id)
+			}
 		}
 	}
 	g.mu.Unlock()
--- a/internal/fpgateway/restore_test.go
+++ b/internal/fpgateway/restore_test.go
@@ -156,3 +156,21 @@
 		}
 	}
 }
+
+// TestRestoredStoreReleasesQuarantine restores the store from a copy without the entry of a part in
+// quarantine. The part must stay there, and its entry must be back for hosts that start later.
+func TestRestoredStoreReleasesQuarantine(t *testing.T) {
+	is := is.New(t)
+	tc := newTestCluster(t)
+	c := tc.store.Copy()
+	tc.store.Put("fescuepoint/quarantine/dead", "by hand")
+	status := func() int { return tc.sendRequest("chat", withPrompt("aa:1200,dead:40,own:20")).status }
+	tc.waitFor(func() bool { return status() == http.StatusServiceUnavailable }, "refused")
+	tc.restoreStore(c, func() {})
+	tc.waitFor(func() bool { return tc.linesWith("store restored from a copy") != "" }, "the restore is known")
+	tc.waitFor(func() bool {
+		is.Equal(status(), http.StatusServiceUnavailable)
+		_, ok := tc.store.GetString("fescuepoint/quarantine/dead")
+		return ok
+	}, "stored again")
+}
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -129,7 +129,7 @@
 	if u.Complete {
 		restored = c.recordIncarnation(u.Position, now)
 		c.clearHosts(restored, now)
-		c.gateway.releaseUnlisted(u.Items)
+		c.gateway.applyUnlistedParts(u.Items, restored)
 		c.orderLeaseHolder = ""
 	}
 	for _, i := range u.Items {
