A restored store proves nothing until it shows the configuration in force

What would have been seen: a key that was revoked just before the store went away is accepted after the restore (CONFIG, revoke_ms) until the operator has written again, since the first answer of the copy counted as proof that nothing newer exists. Cause: proof was taken from the time of an answer, whatever it showed. The copy may lack the version in force, and then also a later one that was confirmed. Such answers no longer renew the proof.

--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -30,8 +30,10 @@
 	// controlState is the state of the control goroutine: what the store and other hosts
 	// reported.
 	controlState struct {
-		gateway          *Gateway
-		catalog          *fpcatalog.Catalog
+		gateway *Gateway
+		catalog *fpcatalog.Catalog
+		// storeBehind says that a restored store does not show the configuration in force yet.
+		storeBehind      bool
 		fleet            *fpfleet.Fleet
 		startTimes       map[string]int64
 		publishedWeights map[string][]publishedVersion
@@ -128,6 +130,7 @@
 	restored := false
 	if u.Complete {
 		restored = c.recordIncarnation(u.Position, now)
+		c.storeBehind = c.catalog != nil && (restored || c.storeBehind)
 		c.clearHosts(restored, now)
 		c.gateway.applyUnlistedParts(u.Items, restored)
 		c.orderLeaseHolder = ""
@@ -141,7 +144,10 @@
 	case u.Complete:
 		c.fleet.ReplaceAll(listed, now)
 	}
-	c.proof = c.proof.WithAnswer(u.SentAt)
+	// A store that lacks the configuration in force may also lack a later one that it confirmed.
+	if !c.storeBehind {
+		c.proof = c.proof.WithAnswer(u.SentAt)
+	}
 }
 
 // recordIncarnation records the store's incarnation from a complete list and reports whether the store was
@@ -291,8 +297,9 @@
 
 // applyCatalog puts a configuration in force, unless it is not newer than the current one.
 func (c *controlState) applyCatalog(n *fpcatalog.Catalog, revision int64) {
+	c.storeBehind = c.catalog != nil && n.Version() < c.catalog.Version()
 	if c.catalog != nil && n.Version() <= c.catalog.Version() {
-		if n.Version() < c.catalog.Version() {
+		if c.storeBehind {
 			c.gateway.log("older configuration in the store", "ConfigVersion", n.Version(), "InForce", c.catalog.Version(), "Revision", revision)
 		}
 		return
--- a/internal/fpgateway/state_test.go
+++ b/internal/fpgateway/state_test.go
@@ -12,6 +12,7 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/internal/fplog"
 	"github.com/fescuepoint/fescuepoint/internal/fpstore"
+	"github.com/fescuepoint/fescuepoint/pkg/fpcatalog"
 )
 
 // TestSnapshotProofMatchesCatalog guards against a snapshot with a newer freshness proof than
@@ -96,6 +97,53 @@
 	}
 }
 
+// TestRestoredStoreBehindProvesNothing guards against a freshness proof from a restored store that does
+// not show the configuration in force yet: it may also lack a later one, by which a key was revoked.
+func TestRestoredStoreBehindProvesNothing(t *testing.T) {
+	document := func(version uint64) fpstore.Item { return fpstore.Item{Key: strconv.FormatUint(version, 10)} }
+	list := func(incarnation int64, items ...fpstore.Item) fpstore.Update {
+		return fpstore.Update{Complete: true, Items: items, Position: fpstore.Position{Incarnation: incarnation, Revision: 5}}
+	}
+	tests := map[string]struct {
+		updates []fpstore.Update
+		// want is the number of the update that the proof comes from.
+		want int
+	}{
+		"an older version":           {updates: []fpstore.Update{list(1, document(4)), list(2, document(3)), {}}, want: 0},
+		"no version":                 {updates: []fpstore.Update{list(1, document(4)), list(2), {}}, want: 0},
+		"no version, listed twice":   {updates: []fpstore.Update{list(1, document(4)), list(2), list(2)}, want: 0},
+		"the version in force":       {updates: []fpstore.Update{list(1, document(4)), list(2, document(4)), {}}, want: 2},
+		"written again":              {updates: []fpstore.Update{list(1, document(4)), list(2, document(3)), {Items: []fpstore.Item{document(4)}}}, want: 2},
+		"a later one":                {updates: []fpstore.Update{list(1, document(4)), list(2, document(3)), {Items: []fpstore.Item{document(7)}}}, want: 2},
+		"a compacted history":        {updates: []fpstore.Update{list(1, document(4)), list(1, document(4)), {}}, want: 2},
+		"no configuration in force":  {updates: []fpstore.Update{list(1), list(2), {}}, want: 2},
+		"restored before it started": {updates: []fpstore.Update{list(2, document(3)), {}, {}}, want: 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newControlState(New(Settings{}.WithDefaults(), Dependencies{
+				Clock: fpclock.SinceBoot, Log: fplog.NewQueue(&bytes.Buffer{}), Dialect: versionDialect{},
+			}))
+			for i, u := range tt.updates {
+				u.SentAt = time.Duration(i) * time.Second
+				c.applyUpdate(u, u.SentAt)
+			}
+			age, known := c.buildSnapshot(time.Minute, false).proof.Age(time.Minute)
+			is.True(known)
+			is.Equal(age, time.Minute-time.Duration(tt.want)*time.Second)
+		})
+	}
+}
+
+// versionDialect takes each item for a configuration whose version is the key.
+type versionDialect struct{ Dialect }
+
+func (versionDialect) DecodeItem(i fpstore.Item) (DecodedItem, error) {
+	version, err := strconv.ParseUint(i.Key, 10, 64)
+	return DecodedItem{Catalog: fpcatalog.New(fpcatalog.Document{Version: version})}, err
+}
+
 // TestRestoredStoreLacksHosts checks that hosts which a restored store does not list still count until
 // they had the time to register again, and not after a history that was only compacted.
 func TestRestoredStoreLacksHosts(t *testing.T) {
