Crashes of replicas are logged with the fingerprints of their requests

The line of a crash names prompt parts, which calls do not have, and nothing told whether two requests were the same. A request now has a fingerprint of what a caller repeats: target, team, model, prompt parts and body; the lines of a crash and of a broken request name it. No decision uses it yet.

--- a/internal/fpgateway/crash.go
+++ b/internal/fpgateway/crash.go
@@ -24,8 +24,8 @@
 	brokenAttemptTTL = 5 * time.Second
 	// maxBrokenAttempts bounds the broken attempts that are kept for one replica.
 	maxBrokenAttempts = 256
-	// maxLoggedParts bounds the prompt parts in the log line of a crash.
-	maxLoggedParts = 12
+	// maxLoggedCounts bounds the prompt parts, and the fingerprints, in the log line of a crash.
+	maxLoggedCounts = 12
 )
 
 type (
@@ -39,17 +39,17 @@
 	}
 
 	// brokenAttempt is an attempt that the replica broke off; parts are the IDs of the shared parts
-	// of its prompt.
+	// of its prompt, and fingerprint is that of the request.
 	brokenAttempt struct {
-		at    time.Duration
-		parts []string
+		at          time.Duration
+		parts       []string
+		fingerprint string
 	}
 )
 
 // recordBrokenAttempt records an attempt that a replica broke off, and has a new connection tell
 // whether the replica crashed.
-func (g *Gateway) recordBrokenAttempt(r fpbalance.Replica, parts []string) {
-	a := brokenAttempt{at: g.clock(), parts: parts}
+func (g *Gateway) recordBrokenAttempt(r fpbalance.Replica, a brokenAttempt) {
 	if g.addBrokenAttempt(r, a) {
 		g.reportCrash(r.ID, []brokenAttempt{a})
 	}
@@ -124,7 +124,8 @@
 	broken := slices.Clone(b.attempts)
 	g.mu.Unlock()
 	g.metrics.AddToCounter("replica_crashes", 1)
-	g.log("replica crashed", "Replica", id, "Proof", proof, "Broken", len(broken), "Parts", formatPartCounts(countParts(broken)))
+	g.log("replica crashed", "Replica", id, "Proof", proof, "Broken", len(broken), "Parts", formatCounts(countParts(broken)),
+		"Fingerprints", formatCounts(countFingerprints(broken)))
 	g.reportCrash(id, broken)
 }
 
@@ -139,13 +140,22 @@
 	return counts
 }
 
-// formatPartCounts lists the parts with the most attempts.
-func formatPartCounts(counts map[string]int) string {
+// countFingerprints returns the number of broken attempts by the fingerprint of their request.
+func countFingerprints(broken []brokenAttempt) map[string]int {
+	counts := make(map[string]int)
+	for _, a := range broken {
+		counts[a.fingerprint]++
+	}
+	return counts
+}
+
+// formatCounts lists the IDs with the most attempts.
+func formatCounts(counts map[string]int) string {
 	ids := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
 		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
 	})
-	out := make([]string, 0, maxLoggedParts)
-	for _, id := range ids[:min(len(ids), maxLoggedParts)] {
+	out := make([]string, 0, maxLoggedCounts)
+	for _, id := range ids[:min(len(ids), maxLoggedCounts)] {
 		out = append(out, fmt.Sprintf("%s:%d", id, counts[id]))
 	}
 	return fmt.Sprint(out)
@@ -167,5 +177,5 @@
 		return
 	}
 	q.broken = true
-	q.gateway.recordBrokenAttempt(c.Replica, q.sharedParts)
+	q.gateway.recordBrokenAttempt(c.Replica, brokenAttempt{at: q.gateway.clock(), parts: q.sharedParts, fingerprint: q.fingerprint})
 }
--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"io"
 	"math"
@@ -24,6 +26,8 @@
 	defaultRequestTimeout = 30 * time.Second
 	// minRetryAfter is the shortest Retry-After that a refused caller is given.
 	minRetryAfter = 50 * time.Millisecond
+	// fingerprintBytes is the length of a request's fingerprint.
+	fingerprintBytes = 12
 	// staleConfigRetryAfter is the Retry-After while this host's configuration is missing,
 	// incomplete or too old.
 	staleConfigRetryAfter = 300 * time.Millisecond
@@ -43,6 +47,8 @@
 		// sharedParts are the IDs of the prompt's parts that other prompts may share.
 		sharedParts []string
 		body        []byte
+		// fingerprint identifies the request by what a caller repeats of it.
+		fingerprint string
 		arrivedAt   time.Duration
 		// deadline is when the caller's deadline or the route's timeout ends, whichever is
 		// earlier.
@@ -196,9 +202,29 @@
 		return &rejection{status: http.StatusInternalServerError, reason: err.Error()}
 	}
 	q.body = body
+	q.fingerprint = q.computeFingerprint()
 	return nil
 }
 
+// computeFingerprint returns a hash of the request's target, team and content, which are the same at each
+// attempt of a caller and through each host.
+func (q *request) computeFingerprint() string {
+	team := ""
+	if q.team != nil {
+		team = q.team.Name
+	}
+	h := sha256.New()
+	for _, s := range []string{q.http.Method, q.http.Host, q.http.RequestURI, team, q.caller.Model} {
+		// A hash never returns an error.
+		_, _ = io.WriteString(h, s+"\x00")
+	}
+	for _, p := range q.caller.PromptParts {
+		_, _ = io.WriteString(h, p.ID+"\x00")
+	}
+	_, _ = h.Write(q.body)
+	return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
+}
+
 // headerBytes returns the size of the request line and header as sent.
 func headerBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host) + len(" HTTP/1.1\r\n \r\n") + len("Host: \r\n")
@@ -290,7 +316,7 @@
 		"TokensPerSecond", int(q.choice.TokensPerSecond), "DrainTokensPerSecond", int(q.choice.DrainTokensPerSecond), "FixedSeconds", roundSeconds(q.choice.FixedSeconds), "RoundTripSeconds", roundSeconds(q.choice.RoundTripSeconds), "Trail", fmt.Sprint(q.trail),
 	}
 	if q.broken {
-		fields = append(fields, "Parts", fmt.Sprint(q.sharedParts))
+		fields = append(fields, "Parts", fmt.Sprint(q.sharedParts), "Fingerprint", q.fingerprint)
 	}
 	g.log("request "+outcome, fields...)
 }
