--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -206,7 +206,7 @@
 	return nil
 }
 
-// computeFingerprint returns a hash of the request's target, team and content, which are the same at each
+// computeFingerprint returns a hash of the request's target, team and body, which are the same at each
 // attempt of a caller and through each host.
 func (q *request) computeFingerprint() string {
 	team := ""
@@ -214,13 +214,10 @@
 		team = q.team.Name
 	}
 	h := sha256.New()
-	for _, s := range []string{q.http.Method, q.http.Host, q.http.RequestURI, team, q.caller.Model} {
+	for _, s := range []string{q.http.Method, q.http.Host, q.http.RequestURI, team} {
 		// A hash never returns an error.
 		_, _ = io.WriteString(h, s+"\x00")
 	}
-	for _, p := range q.caller.PromptParts {
-		_, _ = io.WriteString(h, p.ID+"\x00")
-	}
 	_, _ = h.Write(q.body)
 	return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
 }
--- a/internal/fpgateway/quarantine_test.go
+++ b/internal/fpgateway/quarantine_test.go
@@ -35,10 +35,14 @@
 )
 
 type (
-	// crashingFleet is a set of engines that a prompt part crashes; each crashed engine is replaced
-	// by a new one.
+	// crashingFleet is a set of replicas of a service that some requests crash; each crashed replica is
+	// replaced by a new one.
 	crashingFleet struct {
 		tc      *testCluster
+		service string
+		model   string
+		// settle sets what crashes a new replica.
+		settle  func(*fpfake.Replica)
 		mu      sync.Mutex
 		engines []*fpfake.Replica
 		crashes []time.Time
@@ -46,9 +50,9 @@
 	}
 )
 
-// newCrashingFleet registers the given number of engines.
-func newCrashingFleet(tc *testCluster, count int) *crashingFleet {
-	f := &crashingFleet{tc: tc}
+// newCrashingFleet registers the given number of replicas.
+func newCrashingFleet(tc *testCluster, service, model string, count int, settle func(*fpfake.Replica)) *crashingFleet {
+	f := &crashingFleet{tc: tc, service: service, model: model, settle: settle}
 	for range count {
 		f.start()
 	}
@@ -69,8 +73,9 @@
 	if f.closed {
 		return
 	}
-	e := fpfake.NewReplica(fmt.Sprintf("d%d", len(f.engines)), "llm", "z1", "m")
-	e.CrashPart, e.EventDelay = deadlyPart, 20*time.Millisecond
+	e := fpfake.NewReplica(fmt.Sprintf("d%d", len(f.engines)), f.service, "z1", f.model)
+	e.EventDelay = 20 * time.Millisecond
+	f.settle(e)
 	e.OnCrash = sync.OnceFunc(func() {
 		f.mu.Lock()
 		f.crashes = append(f.crashes, time.Now())
@@ -84,25 +89,24 @@
 	f.tc.store.Put("servers/"+e.ID, e.Registration("ready"))
 }
 
-// crashCount returns the number of crashes, and the time of the last of the first deadlyCrashes.
-func (f *crashingFleet) crashCount() (int, time.Time) {
+// crashCount returns the number of crashes, and the time of the one with the given number, from 1.
+func (f *crashingFleet) crashCount(number int) (int, time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.crashes) < deadlyCrashes {
+	if len(f.crashes) < number {
 		return len(f.crashes), time.Time{}
 	}
-	return len(f.crashes), f.crashes[deadlyCrashes-1]
+	return len(f.crashes), f.crashes[number-1]
 }
 
-// deadlyArrivals returns the number of requests with the deadly part that reached replicas after a
-// time.
-func (f *crashingFleet) deadlyArrivals(after time.Time) int {
+// arrivals returns the number of requests of a kind that reached replicas after a time.
+func (f *crashingFleet) arrivals(after time.Time, isOfKind func(fpfake.ExecutedRequest) bool) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
 	for _, e := range f.engines {
 		for _, r := range e.ExecutedRequests() {
-			if r.At.After(after) && r.HasPromptPart(deadlyPart) {
+			if r.At.After(after) && isOfKind(r) {
 				n++
 			}
 		}
@@ -110,6 +114,12 @@
 	return n
 }
 
+// deadlyArrivals returns the number of requests with the deadly part that reached replicas after a
+// time.
+func (f *crashingFleet) deadlyArrivals(after time.Time) int {
+	return f.arrivals(after, func(r fpfake.ExecutedRequest) bool { return r.HasPromptPart(deadlyPart) })
+}
+
 // newCrashingCluster starts two hosts, without the engines of the usual cluster.
 func newCrashingCluster(t *testing.T, engines int) (*crashingFleet, []*testCluster) {
 	t.Helper()
@@ -117,7 +127,7 @@
 	for _, e := range tc.engines {
 		tc.store.Delete("servers/" + e.ID)
 	}
-	f := newCrashingFleet(tc, engines)
+	f := newCrashingFleet(tc, "llm", "m", engines, func(e *fpfake.Replica) { e.CrashPart = deadlyPart })
 	tc.chooseAddresses()
 	tc.store.Put("op/config", configDocument(1))
 	other, _ := tc.addHost(func(*fpgateway.Settings) {})
@@ -171,15 +181,15 @@
 			refused++
 		}
 	})
-	hosts[0].waitFor(func() bool { n, _ := f.crashCount(); return n >= deadlyCrashes }, "five crashes")
-	_, fifth := f.crashCount()
+	hosts[0].waitFor(func() bool { n, _ := f.crashCount(deadlyCrashes); return n >= deadlyCrashes }, "five crashes")
+	_, fifth := f.crashCount(deadlyCrashes)
 	late := fifth.Add(reactionTime)
 	fpclock.Sleep(context.Background(), time.Until(late)) // the requests go on in real time
 	mu.Lock()
 	lateFrom = late
 	mu.Unlock()
 	fpclock.Sleep(context.Background(), afterReaction)
-	crashes, _ := f.crashCount()
+	crashes, _ := f.crashCount(deadlyCrashes)
 	t.Logf("%d crashes, %d requests with the part reached replicas too late", crashes, f.deadlyArrivals(late))
 	is.True(f.deadlyArrivals(late) <= maxLateArrivals)
 
--- /dev/null
+++ b/internal/fpgateway/repeat_test.go
@@ -0,0 +1,141 @@
+package fpgateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
+	"github.com/fescuepoint/fescuepoint/internal/fpgateway"
+	"github.com/fescuepoint/fescuepoint/platform/fpfake"
+)
+
+const (
+	deadlyQuery = "deadly=1"
+	// repeatedCrashes is the number of replicas after whose crash by one request reactionTime begins.
+	repeatedCrashes = 3
+	// repeatInterval is the time after which the deadly request comes again, and retryDelay that after
+	// which its caller sends it once more when it gets no answer.
+	repeatInterval = 800 * time.Millisecond
+	retryDelay     = 60 * time.Millisecond
+)
+
+// TestRepeatedRequestEndsReplicaAfterReplica sends one request that crashes each replica that begins to run
+// it again and again as it was, through all hosts, amid harmless ones, and checks that soon it reaches no
+// replica, also through a host that starts later, and that the harmless ones are served.
+func TestRepeatedRequestEndsReplicaAfterReplica(t *testing.T) {
+	tests := map[string]struct {
+		route, service, model string
+		replicas              int
+		// retried says that the caller sends the request once more after a broken answer.
+		retried bool
+	}{
+		"idempotent call":          {route: "read", service: "app", replicas: 3, retried: true},
+		"call that may run once":   {route: "call", service: "app", replicas: 3},
+		"stream that may run once": {route: "chat", service: "llm", model: "m", replicas: 5},
+		"resumable stream":         {route: "hint", service: "llm", model: "m", replicas: 5, retried: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tc := prepareTestCluster(t)
+			for _, r := range append(append([]*fpfake.Replica{}, tc.engines...), tc.serviceReplicas...) {
+				if r.Service == tt.service {
+					tc.store.Delete("servers/" + r.ID)
+				}
+			}
+			f := newCrashingFleet(tc, tt.service, tt.model, tt.replicas, func(r *fpfake.Replica) { r.CrashQuery = deadlyQuery })
+			tc.chooseAddresses()
+			tc.store.Put("op/config", configDocument(1))
+			other, _ := tc.addHost(func(*fpgateway.Settings) {})
+			hosts := []*testCluster{tc, other}
+
+			deadly := func(q *http.Request) { q.URL.RawQuery = deadlyQuery }
+			isDeadly := func(r fpfake.ExecutedRequest) bool { return strings.HasSuffix(r.Target, "?"+deadlyQuery) }
+			var wg sync.WaitGroup
+			stop := make(chan struct{})
+			every := func(interval time.Duration, send func(number int)) {
+				wg.Go(func() {
+					tick := time.NewTicker(interval)
+					defer tick.Stop()
+					for i := 0; ; i++ {
+						select {
+						case <-tick.C:
+							wg.Go(func() { send(i) })
+						case <-stop:
+							return
+						}
+					}
+				})
+			}
+			var mu sync.Mutex
+			var lateFrom time.Time
+			sent, served, refused := 0, 0, 0
+			countLate := func(began time.Time, r response) {
+				mu.Lock()
+				defer mu.Unlock()
+				if lateFrom.IsZero() || began.Before(lateFrom) {
+					return
+				}
+				sent++
+				if r.err == nil && r.status == http.StatusOK {
+					served++
+				}
+			}
+			every(harmlessInterval, func(i int) {
+				began := time.Now()
+				r := hosts[i%len(hosts)].sendNumberedRequest(tt.route, 1_000_000+i, func(q *http.Request) {
+					q.URL.RawQuery = url.Values{"harmless": {fmt.Sprint(i)}}.Encode()
+				})
+				countLate(began, r)
+			})
+			every(repeatInterval, func(i int) {
+				r := hosts[i%len(hosts)].sendNumberedRequest(tt.route, 2_000_000+2*i, deadly)
+				if tt.retried && (r.err != nil || r.status == http.StatusBadGateway) {
+					fpclock.Sleep(context.Background(), retryDelay)
+					r = hosts[(i+1)%len(hosts)].sendNumberedRequest(tt.route, 2_000_000+2*i+1, deadly)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				if !lateFrom.IsZero() && r.err == nil && r.status == http.StatusServiceUnavailable {
+					refused++
+				}
+			})
+			tc.waitFor(func() bool { n, _ := f.crashCount(repeatedCrashes); return n >= repeatedCrashes }, "three crashes")
+			_, third := f.crashCount(repeatedCrashes)
+			late := third.Add(reactionTime)
+			fpclock.Sleep(context.Background(), time.Until(late)) // the requests go on in real time
+			mu.Lock()
+			lateFrom = late
+			mu.Unlock()
+			fpclock.Sleep(context.Background(), afterReaction)
+
+			crashes, _ := f.crashCount(repeatedCrashes)
+			t.Logf("%d crashes, %d arrivals too late", crashes, f.arrivals(late, isDeadly))
+			is.True(f.arrivals(late, isDeadly) <= maxLateArrivals)
+			later := &testCluster{t: t, store: tc.store, hostSettings: tc.hostSettings, logs: &syncBuffer{}}
+			later.hostSettings.Host = "h3"
+			later.chooseAddresses()
+			later.startHost()
+			later.waitFor(later.isReady, "the later host is ready")
+			for i := range 4 {
+				r := later.sendNumberedRequest(tt.route, 3_000_000+i, deadly)
+				requireNoError(t, r)
+				is.Equal(r.status, http.StatusServiceUnavailable)
+				is.True(r.header.Get("Retry-After") != "")
+			}
+			close(stop)
+			wg.Wait()
+			is.True(f.arrivals(late, isDeadly) <= maxLateArrivals)
+			is.True(sent > 0 && float64(served) >= minServedShare*float64(sent))
+			is.True(refused > 0) // as not run
+		})
+	}
+}
