A request that crashes the replicas that run it is kept from the replicas

Cause: crashes were judged by the shared parts of prompts alone. A call has none, and neither has the part of a prompt that only one request holds; so each attempt, each client's retry and each return took the next server. Hosts pool crashes by request too, by the fingerprint of target, team and body. Three crashes, each of an attempt sent after the crash before, with no complete answer since, convict it; with several such requests the one with the most crashes, or all from five on. It is then refused as not run, told to all hosts and stored, as parts are. A request explains a crash for other requests only, so that a part at many requests is still convicted.

--- a/internal/fpgateway/crash.go
+++ b/internal/fpgateway/crash.go
@@ -42,6 +42,7 @@
 	// of its prompt, and fingerprint is that of the request.
 	brokenAttempt struct {
 		at          time.Duration
+		sentAt      time.Duration
 		parts       []string
 		fingerprint string
 	}
@@ -177,5 +178,5 @@
 		return
 	}
 	q.broken = true
-	q.gateway.recordBrokenAttempt(c.Replica, brokenAttempt{at: q.gateway.clock(), parts: q.sharedParts, fingerprint: q.fingerprint})
+	q.gateway.recordBrokenAttempt(c.Replica, brokenAttempt{at: q.gateway.clock(), sentAt: q.sentAt, parts: q.sharedParts, fingerprint: q.fingerprint})
 }
--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -97,8 +97,8 @@
 		q.refuseForKey(d)
 		return false
 	}
-	if part, remaining := q.gateway.quarantinedPart(q.sharedParts); part != "" {
-		q.failRequest("prompt part "+part+" crashes replicas", remaining)
+	if id, remaining := q.gateway.findQuarantined(q.quarantineIDs); id != "" {
+		q.failRequest(describeQuarantined(id)+" crashes replicas", remaining)
 		return false
 	}
 	return true
@@ -205,6 +205,7 @@
 func (q *request) tryReplica(ctx context.Context, c fpbalance.Choice) attemptResult {
 	g := q.gateway
 	sentAt := g.clock()
+	q.sentAt = sentAt
 	started := false
 	defer func() {
 		g.mu.Lock()
@@ -358,7 +359,7 @@
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		g.markReplicaDown(c.Replica.ID)
-	case ctx.Err() == nil && !errors.Is(cause, errPartQuarantined):
+	case ctx.Err() == nil && !errors.Is(cause, errQuarantined):
 		g.recordFailure(c.Replica.ID)
 	}
 	if errors.Is(err, fpconn.ErrNotSent) {
@@ -377,10 +378,10 @@
 	q.noteBrokenAttempt(c, err)
 	reason := "the replica gave no whole answer"
 	if ctx.Err() == nil && q.route.Repeatable() && q.runs < q.route.MaxAttempts {
-		if !q.gateway.suspectsPart(q.sharedParts) {
+		if !q.gateway.suspectsAny(q.quarantineIDs) {
 			return tryAnotherReplica
 		}
-		reason += ", and a part of the prompt is suspected to crash replicas"
+		reason += ", and the request is suspected to crash replicas"
 	}
 	if ctx.Err() != nil {
 		reason = "out of time"
--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -49,7 +49,9 @@
 		body        []byte
 		// fingerprint identifies the request by what a caller repeats of it.
 		fingerprint string
-		arrivedAt   time.Duration
+		// quarantineIDs are what may be in quarantine: the request as a whole and sharedParts.
+		quarantineIDs []string
+		arrivedAt     time.Duration
 		// deadline is when the caller's deadline or the route's timeout ends, whichever is
 		// earlier.
 		deadline time.Duration
@@ -63,7 +65,9 @@
 		paidSends     int
 		triedReplicas []string
 		choice        fpbalance.Choice
-		stream        streamState
+		// sentAt is when the last attempt was sent.
+		sentAt time.Duration
+		stream streamState
 		// fallback is a replica's own error answer, used if no other answer follows.
 		fallback *bufferedAnswer
 		// broken says that a replica broke off an attempt.
@@ -203,6 +207,7 @@
 	}
 	q.body = body
 	q.fingerprint = q.computeFingerprint()
+	q.quarantineIDs = append([]string{requestIDPrefix + q.fingerprint}, q.sharedParts...)
 	return nil
 }
 
--- a/internal/fpgateway/quarantine.go
+++ b/internal/fpgateway/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -15,9 +16,12 @@
 )
 
 const (
-	// quarantineKeyPrefix is the prefix of the keys of the prompt parts in quarantine, by ID. An
-	// operator releases a part by deleting its key.
+	// quarantineKeyPrefix is the prefix of the keys of the prompt parts and requests in quarantine, by
+	// ID. An operator releases one by deleting its key.
 	quarantineKeyPrefix = "fescuepoint/quarantine/"
+	// requestIDPrefix is what the ID of a request begins with, before its fingerprint. The IDs of parts
+	// are hexadecimal.
+	requestIDPrefix = "request-"
 	// quarantineInterval is the interval at which evidence is judged and answers are announced.
 	quarantineInterval = 100 * time.Millisecond
 	// storeQuarantineInterval is the interval at which parts are written to the store, or deleted,
@@ -35,14 +39,15 @@
 	// maxNoticePartsBytes bounds the IDs in one notice.
 	maxNoticePartsBytes = 900
 	// noticePartBytes is what a part takes in a notice besides its ID.
-	noticePartBytes = 20
+	noticePartBytes = 48
 )
 
-// errPartQuarantined ends attempts whose prompt has a part that was put into quarantine.
-var errPartQuarantined = errors.New("a part of the prompt was put into quarantine")
+// errQuarantined ends attempts whose request, or a part of its prompt, was put into quarantine.
+var errQuarantined = errors.New("the request was put into quarantine")
 
 type (
-	// quarantine is a host's state of the parts that crash replicas; the gateway's mutex guards it.
+	// quarantine is a host's state of the prompt parts and requests that crash replicas, both of which
+	// are called parts here; the gateway's mutex guards it.
 	quarantine struct {
 		tracker *fpquarantine.Tracker
 		// suspects holds the parts that may be convicted next.
@@ -67,29 +72,45 @@
 	}
 }
 
-// reportCrash takes the broken attempts of a crash as evidence and sends it to the other hosts.
-func (g *Gateway) reportCrash(replica string, broken []brokenAttempt) {
-	now := g.clock()
+// crashedParts returns the requests of broken attempts and the shared parts of their prompts.
+func crashedParts(broken []brokenAttempt) []fpquarantine.Part {
 	var parts []fpquarantine.Part
-	seen := make(map[string]bool)
+	index := make(map[string]int)
+	add := func(p fpquarantine.Part) {
+		i, seen := index[p.ID]
+		switch {
+		case len(p.ID) > maxPartIDBytes:
+		case !seen:
+			index[p.ID] = len(parts)
+			parts = append(parts, p)
+		default:
+			parts[i].SentAt = max(parts[i].SentAt, p.SentAt)
+		}
+	}
 	for _, a := range broken {
+		add(fpquarantine.Part{ID: requestIDPrefix + a.fingerprint, Request: true, SentAt: a.sentAt})
 		for depth, id := range a.parts {
-			if !seen[id] && len(id) <= maxPartIDBytes {
-				seen[id] = true
-				parts = append(parts, fpquarantine.Part{ID: id, Depth: depth})
-			}
+			add(fpquarantine.Part{ID: id, Depth: depth})
 		}
 	}
-	if len(parts) == 0 {
-		return
-	}
+	return parts
+}
+
+// reportCrash takes the broken attempts of a crash as evidence and sends it to the other hosts.
+func (g *Gateway) reportCrash(replica string, broken []brokenAttempt) {
+	now := g.clock()
+	parts := crashedParts(broken)
 	g.recordCrashEvidence(replica, parts, broken[0].at)
 	peers := g.snapshot.Load().allPeers
 	report := fpnotice.ReplicaCrash{Replica: replica, AgeMs: (now - broken[0].at).Milliseconds()}
 	forEachNotice(parts, func(p fpquarantine.Part) string { return p.ID }, func(chunk []fpquarantine.Part) {
 		c := report
 		for _, p := range chunk {
-			c.Parts = append(c.Parts, fpnotice.CrashedPart(p))
+			w := fpnotice.CrashedPart{ID: p.ID, Depth: p.Depth, Request: p.Request}
+			if p.Request {
+				w.SentAgeMs = (now - p.SentAt).Milliseconds()
+			}
+			c.Parts = append(c.Parts, w)
 		}
 		g.sendNotice(peers, fpnotice.Notice{Crash: &c})
 	})
@@ -113,11 +134,16 @@
 
 // handleCrashNotice takes another host's report of a crash as evidence.
 func (g *Gateway) handleCrashNotice(c *fpnotice.ReplicaCrash) {
+	now := g.clock()
 	parts := make([]fpquarantine.Part, 0, len(c.Parts))
 	for _, p := range c.Parts {
-		parts = append(parts, fpquarantine.Part(p))
+		w := fpquarantine.Part{ID: p.ID, Depth: p.Depth, Request: p.Request}
+		if p.Request {
+			w.SentAt = now - time.Duration(p.SentAgeMs)*time.Millisecond
+		}
+		parts = append(parts, w)
 	}
-	g.recordCrashEvidence(c.Replica, parts, g.clock()-time.Duration(c.AgeMs)*time.Millisecond)
+	g.recordCrashEvidence(c.Replica, parts, now-time.Duration(c.AgeMs)*time.Millisecond)
 }
 
 func (g *Gateway) recordCrashEvidence(replica string, parts []fpquarantine.Part, at time.Duration) {
@@ -159,27 +185,32 @@
 	}
 }
 
-// recordWholeAnswer records a complete answer to a prompt.
-func (g *Gateway) recordWholeAnswer(sharedParts []string) {
-	if len(sharedParts) == 0 {
-		return
-	}
+// recordWholeAnswer records a complete answer to a request, by its IDs.
+func (g *Gateway) recordWholeAnswer(ids []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.scheduleAnnouncements(g.quarantine.tracker.RecordAnswer(sharedParts, g.clock()))
+	g.scheduleAnnouncements(g.quarantine.tracker.RecordAnswer(ids, g.clock()))
 }
 
-// quarantinedPart returns the first of the parts that is in quarantine, "" for none, and how long it
+// describeQuarantined names a part or a request in quarantine.
+func describeQuarantined(id string) string {
+	if fingerprint, ok := strings.CutPrefix(id, requestIDPrefix); ok {
+		return "request " + fingerprint
+	}
+	return "prompt part " + id
+}
+
+// findQuarantined returns the first of the IDs that is in quarantine, "" for none, and how long it
 // stays there.
-func (g *Gateway) quarantinedPart(ids []string) (string, time.Duration) {
+func (g *Gateway) findQuarantined(ids []string) (string, time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.quarantine.tracker.Find(ids, g.clock())
 }
 
-// suspectsPart reports whether one of the parts may crash replicas, so that a repeat of the request may
+// suspectsAny reports whether the request or one of its parts may crash replicas, so that a repeat may
 // cost another replica.
-func (g *Gateway) suspectsPart(ids []string) bool {
+func (g *Gateway) suspectsAny(ids []string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, id := range ids {
@@ -190,7 +221,7 @@
 	return false
 }
 
-// trackUnbegun makes an attempt end when a part of its prompt is put into quarantine.
+// trackUnbegun makes an attempt end when its request or a part of its prompt is put into quarantine.
 func (g *Gateway) trackUnbegun(q *request, cancel context.CancelCauseFunc) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -239,7 +270,7 @@
 // announceQuarantined tells the other hosts of a part in quarantine, which they may not learn from the
 // store soon.
 func (g *Gateway) announceQuarantined(id string) {
-	if part, _ := g.quarantinedPart([]string{id}); part != "" {
+	if found, _ := g.findQuarantined([]string{id}); found != "" {
 		g.sendNotice(g.snapshot.Load().allPeers, fpnotice.Notice{Quarantined: &fpnotice.PartQuarantined{ID: id}})
 	}
 }
@@ -260,18 +291,16 @@
 	ended := 0
 	g.mu.Lock()
 	for q, cancel := range g.quarantine.unbegun {
-		for _, part := range q.sharedParts {
-			if part == id {
-				cancel(errPartQuarantined)
-				ended++
-			}
+		if slices.Contains(q.quarantineIDs, id) {
+			cancel(errQuarantined)
+			ended++
 		}
 	}
 	if _, stored := g.quarantine.revisions[id]; !stored {
 		g.scheduleStoreWrite(id)
 	}
 	g.mu.Unlock()
-	g.log("prompt part quarantined", "Part", id, "Source", source, "Ended", ended)
+	g.log("added to quarantine", "Part", id, "Source", source, "Ended", ended)
 }
 
 // scheduleStoreWrite has a part written to the store, unless another host does so before. The gateway's
@@ -288,7 +317,7 @@
 	delete(g.quarantine.writeAt, id)
 	g.mu.Unlock()
 	if released {
-		g.log("prompt part released", "Part", id, "Reason", reason)
+		g.log("released from quarantine", "Part", id, "Reason", reason)
 	}
 }
 
--- a/internal/fpgateway/quarantine_test.go
+++ b/internal/fpgateway/quarantine_test.go
@@ -263,7 +263,7 @@
 		if number%8 == 0 {
 			hosts[0].sendNumberedRequest("hint", 1000+number, withPrompt(fmt.Sprintf("aa:1200,%s:60,own%d:20", deadlyPart, number)))
 		}
-		return hosts[1].linesWith("prompt part quarantined") != ""
+		return hosts[1].linesWith("added to quarantine") != ""
 	}, "learnt by the other host")
 	f.tc.store.SetFault(fpfake.StoreFault{})
 	hosts[0].waitFor(func() bool {
--- a/internal/fpnotice/notice.go
+++ b/internal/fpnotice/notice.go
@@ -70,13 +70,18 @@
 		Relay bool `json:",omitempty"`
 	}
 
-	// CrashedPart is a shared part of a prompt that a replica was answering as it crashed.
+	// CrashedPart is a shared part of a prompt that a replica was answering as it crashed, or a request
+	// as a whole.
 	CrashedPart struct {
-		ID    string
-		Depth int `json:",omitempty"`
+		ID      string
+		Depth   int  `json:",omitempty"`
+		Request bool `json:",omitempty"`
+		// SentAgeMs is how long ago the request was sent to the replica.
+		SentAgeMs int64 `json:",omitempty"`
 	}
 
-	// ReplicaCrash reports the shared parts of the prompts that a replica was answering as it crashed.
+	// ReplicaCrash reports the requests that a replica was answering as it crashed, and the shared parts of
+	// their prompts.
 	ReplicaCrash struct {
 		Replica string
 		AgeMs   int64
--- a/pkg/fpquarantine/tracker.go
+++ b/pkg/fpquarantine/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -32,8 +33,20 @@
 	// tieCrashes is the number of crashes from which one of several parts with the same evidence is
 	// convicted.
 	tieCrashes = 5
-	// evidenceTTL is how long a crash counts.
-	evidenceTTL = time.Minute
+	// evidenceTTL is how long a crash counts against parts, and requestEvidenceTTL against requests,
+	// which may come again at long intervals.
+	evidenceTTL        = time.Minute
+	requestEvidenceTTL = 10 * time.Minute
+	// minRequestLinks is the least number of crashes that convict a request, each of an attempt that was
+	// sent after the crash before. Attempts that run at the same time make fewer links; then
+	// minRequestCrashes convict it with minSuspectLinks.
+	minRequestLinks   = 3
+	minRequestCrashes = 4
+	// minSuspectLinks is the number of such crashes from which a request is suspected.
+	minSuspectLinks = 2
+	// skewTolerance is by how much the times that two hosts report may differ: the longest one-way delay
+	// between them.
+	skewTolerance = 30 * time.Millisecond
 	// mergeTime is the time in which reports of a replica's crash are about the same crash.
 	mergeTime = 1500 * time.Millisecond
 
@@ -44,11 +57,15 @@
 )
 
 type (
-	// Part is a part of a prompt that other prompts may share. Depth is its position in the prompt,
-	// 0 first.
+	// Part is a part of a prompt that other prompts may share, or a whole request that may be repeated.
+	// Depth is the part's position in the prompt, 0 first.
 	Part struct {
 		ID    string
 		Depth int
+		// Request says that the ID is that of a request; SentAt is then when its last attempt at the
+		// replica was sent.
+		Request bool
+		SentAt  time.Duration
 	}
 
 	// Entry is a part in quarantine; Age is the time since its conviction.
@@ -74,11 +91,17 @@
 		replica string
 		at      time.Duration
 		depths  map[string]int
+		// requests holds when the last attempt of each request was sent, by ID.
+		requests map[string]time.Duration
 		// answersBefore is the number of complete answers before the crash became known.
 		answersBefore int
 		// explained says that one of the parts is in quarantine, so that the crash speaks against no
-		// other.
-		explained bool
+		// other, and requestExplained the same of the requests. A part may crash the replicas under
+		// many requests, so that a request does not explain a crash for the parts.
+		explained        bool
+		requestExplained bool
+		// aged says that the crash is too old to count against parts.
+		aged bool
 	}
 
 	// episode is a failure: the unexplained crashes within episodeLength of its first.
@@ -125,11 +148,13 @@
 		return nil
 	}
 	for _, p := range parts {
-		if answered, ok := t.answered[p.ID]; ok && answered > c.at {
+		answered, ok := t.answered[p.ID]
+		switch {
+		case ok && answered > c.at:
 			cleared = append(cleared, p.ID)
-			continue
-		}
-		if len(c.depths) < maxPartsPerCrash {
+		case p.Request && !c.requestExplained && len(c.requests) < maxPartsPerCrash:
+			c.requests[p.ID] = max(c.requests[p.ID], p.SentAt)
+		case !p.Request && len(c.depths) < maxPartsPerCrash:
 			c.depths[p.ID] = max(c.depths[p.ID], p.Depth)
 		}
 	}
@@ -144,7 +169,7 @@
 			return c
 		}
 	}
-	c := &crash{replica: replica, at: at, depths: make(map[string]int), answersBefore: t.answers}
+	c := &crash{replica: replica, at: at, depths: make(map[string]int), requests: make(map[string]time.Duration), answersBefore: t.answers}
 	i, _ := slices.BinarySearchFunc(t.crashes, at, func(c *crash, at time.Duration) int { return int(c.at - at) })
 	t.crashes = slices.Insert(t.crashes, i, c)
 	if len(t.crashes) > maxCrashes {
@@ -170,8 +195,11 @@
 		t.answered[id] = max(t.answered[id], at)
 		found := false
 		for _, c := range t.crashes {
-			if _, ok := c.depths[id]; ok && c.at < at {
+			_, isPart := c.depths[id]
+			_, isRequest := c.requests[id]
+			if (isPart || isRequest) && c.at < at {
 				delete(c.depths, id)
+				delete(c.requests, id)
 				found = true
 			}
 		}
@@ -195,8 +223,13 @@
 
 // Convict puts the parts into quarantine that the evidence convicts, and returns them.
 func (t *Tracker) Convict(now time.Duration) []string {
-	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return now-c.at > evidenceTTL })
+	t.ageCrashes(now)
 	var convicted []string
+	for _, id := range t.guiltyRequests(now) {
+		if t.Quarantine(id, now) {
+			convicted = append(convicted, id)
+		}
+	}
 	for {
 		s, ok := t.primeSuspect()
 		if !ok || now < s.sufficientAt+settleTime || t.answers-s.answersBefore < minOtherAnswers || !t.Quarantine(s.id, now) {
@@ -207,6 +240,24 @@
 	return convicted
 }
 
+// ageCrashes drops the evidence that is too old. Of the requests at crashes that no longer count against
+// parts, those that were at another crash are kept.
+func (t *Tracker) ageCrashes(now time.Duration) {
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return now-c.at > requestEvidenceTTL })
+	for _, c := range t.crashes {
+		if c.aged || now-c.at <= evidenceTTL {
+			continue
+		}
+		c.aged = true
+		maps.DeleteFunc(c.requests, func(id string, _ time.Duration) bool {
+			return !slices.ContainsFunc(t.crashes, func(o *crash) bool {
+				_, ok := o.requests[id]
+				return ok && o != c
+			})
+		})
+	}
+}
+
 // primeSuspect returns the part that most of the unexplained crashes speak against. Among parts with
 // the same evidence it is the deepest, which the fewest prompts share, once there are enough crashes.
 func (t *Tracker) primeSuspect() (suspect, bool) {
@@ -233,14 +284,19 @@
 	return best, best.episodes >= minEpisodes && (!tied || best.crashes >= tieCrashes)
 }
 
-// Suspects returns the parts that several failures speak against, none of which is in quarantine. To
-// repeat a request with one of them may cost another replica.
+// Suspects returns the parts and requests that several failures speak against, none of which is in
+// quarantine. To repeat a request with one of them may cost another replica.
 func (t *Tracker) Suspects() []string {
+	var out []string
+	for id, s := range t.suspectRequests() {
+		if s.links >= minSuspectLinks {
+			out = append(out, id)
+		}
+	}
 	episodes := t.episodes()
 	if len(episodes) < minSuspectEpisodes {
-		return nil
+		return out
 	}
-	var out []string
 	for id, s := range suspects(episodes) {
 		if s.episodes >= minSuspectEpisodes && s.inMostSince(episodes) {
 			out = append(out, id)
@@ -258,7 +314,7 @@
 func (t *Tracker) episodes() []episode {
 	var out []episode
 	for _, c := range t.crashes {
-		if c.explained {
+		if c.explained || c.aged {
 			continue
 		}
 		if n := len(out); n == 0 || c.at-out[n-1].startsAt >= episodeLength {
@@ -316,16 +372,26 @@
 	return true
 }
 
-// explainCrashes drops the evidence of crashes that a part in quarantine explains.
+// explainCrashes drops the evidence of crashes that a part or a request in quarantine explains.
 func (t *Tracker) explainCrashes() {
 	for _, c := range t.crashes {
-		for id := range c.depths {
-			if _, ok := t.quarantined[id]; ok {
-				c.explained, c.depths = true, nil
-				break
-			}
+		if t.holdsAny(maps.Keys(c.depths)) {
+			c.explained, c.depths = true, nil
+		}
+		if c.explained || t.holdsAny(maps.Keys(c.requests)) {
+			c.requestExplained, c.requests = true, nil
+		}
+	}
+}
+
+// holdsAny reports whether one of the IDs is in quarantine.
+func (t *Tracker) holdsAny(ids iter.Seq[string]) bool {
+	for id := range ids {
+		if _, ok := t.quarantined[id]; ok {
+			return true
 		}
 	}
+	return false
 }
 
 // Release ends a part's quarantine and reports whether it was in quarantine.
