Own interface: a request that crashes upstreams is stopped as a whole

What callers would have seen: a chat whose last message crashes engines, or a call that crashes a service's replicas, takes upstream after upstream each time it is sent. Requests and calls are judged as a whole too, and a call stops at two upstreams that crashed. A poll that a crashed service refuses no longer makes a call that was sent one that did not run, which let it be repeated without a token of the retry budget.

--- a/internal/fpdispatch/chat.go
+++ b/internal/fpdispatch/chat.go
@@ -16,6 +16,7 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpupstream"
 	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
 	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
+	"github.com/fescuepoint/fescuepoint/pkg/fpquarantine"
 	"github.com/fescuepoint/fescuepoint/pkg/fprecord"
 	"github.com/fescuepoint/fescuepoint/pkg/fproute"
 	"github.com/fescuepoint/fescuepoint/pkg/fpstream"
@@ -46,9 +47,13 @@
 		firstPieceSeen   bool
 		usage            fpchat.Usage
 		// crashes counts the upstreams that crashed under the request.
-		crashes   int
+		crashes int
+		// parts are what may be in quarantine: the request and the shared parts of its prompt.
+		parts     []fpquarantine.Part
 		target    target
 		attemptID string
+		// sentAt is when the last attempt was sent.
+		sentAt time.Time
 	}
 )
 
@@ -64,9 +69,9 @@
 // allowed.
 func (r *chatRun) run(ctx context.Context) RequestResult {
 	r.countRequest()
-	parts := promptParts(r.request)
+	r.parts = chatParts(r.admitted.Team, r.request)
 	for attempts := 1; ; attempts++ {
-		if part, remaining := r.dispatcher.quarantinedPart(parts); part != "" {
+		if part, remaining := r.dispatcher.quarantinedPart(r.parts); part != "" {
 			return r.newResult(r.refuseQuarantined(part, remaining))
 		}
 		t, err := r.dispatcher.placeChat(r.admitted, r.request, r.model, r.pinnedWeights, r.excludedReplicas)
@@ -77,7 +82,7 @@
 		err = r.runAttempt(ctx)
 		switch {
 		case err == nil:
-			r.dispatcher.recordWholeAnswer(parts)
+			r.dispatcher.recordWholeAnswer(r.parts)
 			return r.newResult(r.ledger.CompleteOutcome())
 		case errors.Is(err, ErrCallerGone) || ctx.Err() != nil:
 			r.cancelAttempt()
@@ -101,7 +106,7 @@
 	r.dispatcher.recordFailure(r.target)
 	if errors.Is(err, errUpstreamCrashed) {
 		r.crashes++
-		r.dispatcher.recordCrash(r.target.candidate.Replica, promptParts(r.request))
+		r.dispatcher.recordCrash(r.target.candidate.Replica, r.parts, r.sentAt)
 	}
 	r.excludedReplicas = append(slices.Clone(r.excludedReplicas), r.target.candidate.Replica)
 	switch {
@@ -134,7 +139,7 @@
 }
 
 func (r *chatRun) refuseQuarantined(part string, remaining time.Duration) fpoutcome.Outcome {
-	reason := "prompt part " + part + " crashes upstreams"
+	reason := describeQuarantined(part) + " crashes upstreams"
 	r.dispatcher.addRecord(r.admitted, fprecord.Refused, "", reason)
 	return r.ledger.IncompleteOutcome(reason, remaining)
 }
@@ -146,7 +151,7 @@
 // runAttempt sends one attempt and delivers its answer, over several connections if it has to be
 // resumed.
 func (r *chatRun) runAttempt(ctx context.Context) error {
-	r.attemptID = r.dispatcher.newAttemptID()
+	r.attemptID, r.sentAt = r.dispatcher.newAttemptID(), time.Now()
 	r.assembler = r.assembler.WithAttempt(r.attemptID)
 	r.dispatcher.recordPlacement(r.admitted, r.target)
 	r.dispatcher.recordDispatch(r.target)
--- a/internal/fpdispatch/quarantine.go
+++ b/internal/fpdispatch/quarantine.go
@@ -1,7 +1,12 @@
 package fpdispatch
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,9 +16,15 @@
 	"github.com/fescuepoint/fescuepoint/pkg/fpquarantine"
 )
 
-// maxCrashesPerRequest is the number of upstreams that may crash under one request; it is sent to no
-// further one, since it may be the cause.
-const maxCrashesPerRequest = 2
+const (
+	// maxCrashesPerRequest is the number of upstreams that may crash under one request; it is sent to no
+	// further one, since it may be the cause.
+	maxCrashesPerRequest = 2
+	// requestIDPrefix is what the ID of a request begins with, before its fingerprint of
+	// fingerprintBytes. The IDs of parts are hexadecimal.
+	requestIDPrefix  = "request-"
+	fingerprintBytes = 12
+)
 
 // errUpstreamCrashed means that an upstream broke off an answer and no longer knows the attempt.
 var errUpstreamCrashed = errors.New("the upstream crashed")
@@ -29,23 +40,56 @@
 	return parts
 }
 
-// recordCrash takes the crash of an upstream under a request as evidence against the parts of its
-// prompt.
-func (d *Dispatcher) recordCrash(replica string, parts []fpquarantine.Part) {
+// requestPart stands for a request as a whole, told by what its caller repeats of it.
+func requestPart(fields ...string) fpquarantine.Part {
+	h := sha256.New()
+	for _, f := range fields {
+		// A hash never returns an error.
+		_, _ = io.WriteString(h, strconv.Itoa(len(f))+":"+f)
+	}
+	return fpquarantine.Part{ID: requestIDPrefix + hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]), Request: true}
+}
+
+// chatParts returns the shared messages of a chat request and the request as a whole.
+func chatParts(team string, r fpchat.Request) []fpquarantine.Part {
+	fields := []string{team, r.Model}
+	for _, m := range r.Messages {
+		fields = append(fields, m.Role, m.Content)
+	}
+	return append(promptParts(r), requestPart(fields...))
+}
+
+// recordCrash takes the crash of an upstream under a request as evidence against the request, whose
+// attempt was sent at a time, and against the parts of its prompt.
+func (d *Dispatcher) recordCrash(replica string, parts []fpquarantine.Part, sentAt time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	parts = slices.Clone(parts)
+	for i := range parts {
+		if parts[i].Request {
+			parts[i].SentAt = sentAt.Sub(d.startedAt)
+		}
+	}
 	d.quarantine.RecordCrash(replica, parts, time.Since(d.startedAt))
 }
 
-// recordWholeAnswer takes a complete answer as evidence for the parts of its prompt.
+// describeQuarantined names a part or a request in quarantine.
+func describeQuarantined(id string) string {
+	if fingerprint, ok := strings.CutPrefix(id, requestIDPrefix); ok {
+		return "request " + fingerprint
+	}
+	return "prompt part " + id
+}
+
+// recordWholeAnswer takes a complete answer as evidence for its request and the parts of its prompt.
 func (d *Dispatcher) recordWholeAnswer(parts []fpquarantine.Part) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.quarantine.RecordAnswer(fpquarantine.IDs(parts), time.Since(d.startedAt))
 }
 
-// quarantinedPart returns the first part of a prompt that crashes upstreams, "" for none, and how long
-// it stays in quarantine.
+// quarantinedPart returns the first of the parts that crashes upstreams, "" for none, and how long it
+// stays in quarantine.
 func (d *Dispatcher) quarantinedPart(parts []fpquarantine.Part) (string, time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/fpdispatch/quarantine_test.go
+++ b/internal/fpdispatch/quarantine_test.go
@@ -170,3 +170,93 @@
 		is.Equal(ef.sendPassage("later", deadlyText).Outcome.Kind(), fpoutcome.Failed)
 	})
 }
+
+// serveFragileService serves a plain service's replica that crashes as it begins to run a call with the
+// deadly text, and is back after a while.
+func (f *fragileEngines) serveFragileService(ef *engineFixture, address string) {
+	f.serve(ef, address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(fpchat.AttemptHeader, r.Header.Get(fpchat.AttemptHeader))
+		w.WriteHeader(http.StatusOK)
+	}))
+}
+
+// TestRepeatedRequestEndsUpstreamAfterUpstream sends one request that crashes each upstream again and again
+// as it was, amid harmless ones, and checks that soon it reaches none and that the harmless ones are served.
+func TestRepeatedRequestEndsUpstreamAfterUpstream(t *testing.T) {
+	const repeatedCrashes = 3
+	chat := func(ef *engineFixture, text string) fpoutcome.Kind {
+		q := AdmittedRequest{Team: "t", RequestID: "r", ReceivedAt: time.Now(), Deadline: time.Now()}
+		req := fpchat.Request{Model: "tutor", MaxTokens: 8, Messages: []fpchat.Message{
+			{Role: "system", Content: strings.Repeat("manual ", 300)}, {Role: "user", Content: text},
+		}}
+		return ef.dispatcher.DispatchChat(context.Background(), q, req, fpconfig.Model{Name: "tutor", Weights: "1"}, &collector{}).Outcome.Kind()
+	}
+	call := func(ef *engineFixture, text string) fpoutcome.Kind {
+		q := AdmittedRequest{Team: "t", RequestID: "r", ReceivedAt: time.Now(), Deadline: time.Now()}
+		c := ServiceCall{Service: "app", Method: http.MethodPost, Path: "/read", Body: []byte(text)}
+		return ef.dispatcher.DispatchService(context.Background(), q, c).Outcome.Kind()
+	}
+	tests := map[string]func(*engineFixture, string) fpoutcome.Kind{"chat": chat, "service call": call}
+	for name, send := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ef, f := newFragileFixture(t, 6)
+				defer ef.close()
+				s := *ef.state.Load()
+				s.Services = make(map[string][]fpstate.Upstream)
+				for i := range 3 {
+					address := fmt.Sprintf("10.3.0.%d:80", i)
+					f.serveFragileService(ef, address)
+					s.Services["app"] = append(s.Services["app"], fpstate.Upstream{
+						Upstream: fpconfig.Upstream{Name: fmt.Sprint("s", i), Address: address, AvailabilityZone: "z"}, Reachable: true,
+					})
+				}
+				ef.state.Publish(&s)
+				var wg sync.WaitGroup
+				var mu sync.Mutex
+				served, sent, refused := 0, 0, 0
+				for i := range 300 {
+					late := i > 200
+					wg.Go(func() {
+						kind := send(ef, fmt.Sprint("harmless ", i))
+						mu.Lock()
+						defer mu.Unlock()
+						if late {
+							sent++
+							if kind == fpoutcome.Complete {
+								served++
+							}
+						}
+					})
+					if i%20 == 0 {
+						wg.Go(func() {
+							kind := send(ef, deadlyText)
+							mu.Lock()
+							defer mu.Unlock()
+							if kind == fpoutcome.NotRun {
+								refused++
+							}
+						})
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				wg.Wait()
+				f.mu.Lock()
+				late := 0
+				if len(f.arrivals) >= repeatedCrashes {
+					for _, at := range f.arrivals {
+						if at.After(f.arrivals[repeatedCrashes-1].Add(deadlyReaction)) {
+							late++
+						}
+					}
+				}
+				t.Logf("%d deadly requests reached upstreams, %d late, %d refused; %d of %d harmless served", len(f.arrivals), late, refused, served, sent)
+				f.mu.Unlock()
+				is.True(late <= maxLateArrivals)
+				is.True(refused > 0)
+				is.True(sent > 0 && served == sent)
+			})
+		})
+	}
+}
--- a/internal/fpdispatch/service.go
+++ b/internal/fpdispatch/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -11,6 +12,7 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpstate"
 	"github.com/fescuepoint/fescuepoint/internal/fpupstream"
 	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
+	"github.com/fescuepoint/fescuepoint/pkg/fpquarantine"
 	"github.com/fescuepoint/fescuepoint/pkg/fprecord"
 	"github.com/fescuepoint/fescuepoint/pkg/fproute"
 )
@@ -41,7 +43,14 @@
 	dispatchGate func() error, eligible func(fpstate.Upstream) bool,
 ) fpclaimant.Result {
 	var excluded []string
+	crashes := 0
+	parts := []fpquarantine.Part{requestPart(q.Team, c.Service, c.Method, c.Path, string(c.Body))}
 	for attempts := 1; ; attempts++ {
+		if part, remaining := d.quarantinedPart(parts); part != "" {
+			reason := describeQuarantined(part) + " crashes upstreams"
+			d.addRecord(q, fprecord.Refused, "", reason)
+			return fpclaimant.Result{Outcome: ledger.IncompleteOutcome(reason, remaining)}
+		}
 		u, ok := d.selectReplica(c.Service, excluded, eligible)
 		if !ok {
 			d.addRecord(q, fprecord.Refused, "", "no replica of the service can be reached")
@@ -49,8 +58,10 @@
 		}
 		d.addRecord(q, fprecord.Placed, u.Name, "least running calls",
 			fprecord.Figure{Name: "running", Value: float64(u.Report.Running)})
+		sentAt := time.Now()
 		a, err := d.client.CallService(ctx, d.newServiceAttempt(q, c, u, ledger, dispatchGate))
 		if err == nil {
+			d.recordWholeAnswer(parts)
 			return fpclaimant.Result{
 				Outcome:     ledger.CompleteOutcome(),
 				Status:      a.Status,
@@ -59,8 +70,12 @@
 				Upstream:    u.Name,
 			}
 		}
+		if errors.Is(err, fpupstream.ErrAttemptUnknown) && errors.Is(err, fpupstream.ErrInterrupted) {
+			crashes++
+			d.recordCrash(u.Name, parts, sentAt)
+		}
 		excluded = append(excluded, u.Name)
-		last := attempts >= maxAttempts || errors.Is(err, ErrDeadlinePassed) || ctx.Err() != nil
+		last := attempts >= maxAttempts || crashes >= maxCrashesPerRequest || errors.Is(err, ErrDeadlinePassed) || ctx.Err() != nil
 		if dispatchGate != nil && ledger.Dispatched() || last || !errors.Is(err, fpupstream.ErrNotRun) && !d.takeRetryToken() {
 			return fpclaimant.Result{Outcome: ledger.IncompleteOutcome(err.Error(), defaultRetryAfter), Upstream: u.Name}
 		}
--- a/internal/fpupstream/call.go
+++ b/internal/fpupstream/call.go
@@ -94,6 +94,9 @@
 	for failures := 0; failures < maxPollFailures && ctx.Err() == nil; {
 		response, err := c.pollOnce(ctx, a)
 		switch {
+		case errors.Is(err, ErrNotRun):
+			// Only the poll did not reach the service; the attempt was sent before.
+			return callResult{err: errors.Mark(errors.Wrapf(cause, "then %v", err), ErrAttemptUnknown)}
 		case isFinal(err):
 			return callResult{response: response, err: err}
 		case errors.Is(err, ErrAttemptUnknown):
