Cache events of a new epoch are read from the first one

What would have been seen: after the restart of a replica's cache events the prompt parts that were cached first are not known, and prompts are read again that were cached. Cause: the class of the restored store: a number of one epoch was sent as a place in the next one, and what lay before it was skipped where the new epoch already had more events. TestCacheEventsSkippedInNewEpoch failed before and passes.

--- a/internal/fpgateway/events.go
+++ b/internal/fpgateway/events.go
@@ -101,9 +101,10 @@
 	return ""
 }
 
-// followCacheEvents polls a replica's cache events until the context ends.
+// followCacheEvents polls a replica's cache events until the context ends. They are numbered anew in each
+// epoch, so that those of a new one are read from the first.
 func (g *Gateway) followCacheEvents(ctx context.Context, r fpbalance.Replica) {
-	since := int64(0)
+	since, epoch := int64(0), int64(0)
 	for ctx.Err() == nil {
 		e, err := g.readCacheEvents(ctx, r, since)
 		if err != nil {
@@ -111,8 +112,12 @@
 			fpclock.Sleep(ctx, eventsRetryPause)
 			continue
 		}
+		if since > 0 && e.Epoch != epoch {
+			since = 0
+			continue
+		}
 		g.handleCacheEvents(r, e)
-		since = e.Next
+		since, epoch = e.Next, e.Epoch
 		fpclock.Sleep(ctx, eventsBatchPause)
 	}
 }
