Claims: a restored store is noticed also once its revisions are higher

What would have been seen, on the product's own interface: a call that may run once runs twice, since a restored store lost its claim and the next attempt came through a host that took the store for the same as before. Cause: the class of the restored store. A shard noticed a restore only by a lower revision; once other keys were written, a slot's new revision is higher and its sequence number is assigned again to another batch. A batch now names the one before it, a slot that goes back or changes under a sequence number breaks the log, and a write requires that the batch before is still there. Any of these makes the shard grant nothing for a window.

--- a/internal/fpclaimant/claimant.go
+++ b/internal/fpclaimant/claimant.go
@@ -222,7 +222,14 @@
 	if err != nil {
 		panic(errors.Wrap(err, "fpclaimant: slot cannot be encoded"))
 	}
-	position, err := fpstore.CompareAndSwap(ctx, r.store, fpclaim.SlotKey(r.shardNumber, a.Slot), a.Expected, data, fpstore.LeaseID{})
+	t := fpstore.Transaction{
+		Conditions: []fpstore.Condition{{Key: fpclaim.SlotKey(r.shardNumber, a.Slot), Revision: a.Expected}},
+		Puts:       []fpstore.Put{{Key: fpclaim.SlotKey(r.shardNumber, a.Slot), Value: data}},
+	}
+	if a.PreviousExpected > 0 {
+		t.Conditions = append(t.Conditions, fpstore.Condition{Key: fpclaim.SlotKey(r.shardNumber, a.Previous), Revision: a.PreviousExpected})
+	}
+	position, err := r.store.Commit(ctx, t)
 	return position.Revision, err
 }
 
--- a/pkg/fpclaim/shard.go
+++ b/pkg/fpclaim/shard.go
@@ -28,7 +28,9 @@
 		// syncedAt is when the end of the log was last read or written.
 		syncedAt time.Time
 		// holders is the view: the latest claim on each key.
-		holders     map[Key]Claim
+		holders map[Key]Claim
+		// lastBatch is the newest batch in the view, without its claims.
+		lastBatch   Slot
 		pending     []pendingClaim
 		lingerStart time.Time
 		// batch is the value that is being written, for the requests in batched.
@@ -37,6 +39,8 @@
 		batchSerial  uint64
 		name         string
 		callInFlight bool
+		// conflicted says that the last write met a conflict that no batch read since explains.
+		conflicted bool
 		// maxRevision is the highest revision seen in the store.
 		maxRevision     int64
 		quarantineUntil time.Time
@@ -83,12 +87,12 @@
 }
 
 // HandleSlotRead records a slot's value and revision; a slot never written has
-// revision 0. A revision lower than one read there before means that the store
-// was restored to an older state: claims may be lost, so none is granted until
-// the window has passed.
+// revision 0. What does not continue the log as it was read before means that the
+// store was restored to an older state: claims may be lost, so none is granted
+// until the window has passed.
 func (s *Shard) HandleSlotRead(slot int, revision int64, v Slot, now time.Time) []Action {
 	s.callInFlight = false
-	if revision < s.ring[slot].revision {
+	if !s.continuesLog(slot, revision, v) {
 		return s.startQuarantine(now)
 	}
 	s.ring[slot] = storedSlot{revision: revision, slot: v}
@@ -113,6 +117,19 @@
 	return s.startNextCall(now)
 }
 
+// continuesLog reports whether a slot's value may follow the one that was read there before, and the last
+// batch of the view. After a restore, revisions and sequence numbers are assigned again.
+func (s *Shard) continuesLog(slot int, revision int64, v Slot) bool {
+	known := s.ring[slot]
+	switch {
+	case revision < known.revision || v.Sequence < known.slot.Sequence:
+		return false
+	case v.Sequence == known.slot.Sequence && v.Batch != known.slot.Batch && known.revision > 0:
+		return false
+	}
+	return v.Previous == "" || s.lastBatch.Batch == "" || v.Sequence != s.lastBatch.Sequence+1 || v.Previous == s.lastBatch.Batch
+}
+
 // HandleReadFailed records that a slot could not be read; the next Tick tries again.
 func (s *Shard) HandleReadFailed(now time.Time) []Action {
 	var out []Action
@@ -151,6 +168,7 @@
 	}
 	s.requeueBatch()
 	s.phase = catchingUp
+	s.conflicted = true
 	return s.readSlot(s.slotFor(s.nextSequence))
 }
 
@@ -264,6 +282,7 @@
 	s.requeueBatch()
 	s.ring = make([]storedSlot, len(s.ring))
 	s.maxRevision = 0
+	s.lastBatch = Slot{}
 	s.syncedAt = time.Time{}
 	s.phase = idle
 	s.quarantineUntil = now.Add(s.settings.Window)
@@ -277,6 +296,9 @@
 	for _, r := range s.ring {
 		s.nextSequence = max(s.nextSequence, r.slot.Sequence+1)
 		s.mergeClaims(r.slot.Claims)
+		if r.slot.Sequence >= s.lastBatch.Sequence {
+			s.lastBatch = Slot{Sequence: r.slot.Sequence, Batch: r.slot.Batch}
+		}
 	}
 	s.syncedAt = now
 	s.phase = idle
@@ -285,15 +307,23 @@
 // continueCatchUp reads other hosts' batches until the next slot has no newer one.
 func (s *Shard) continueCatchUp(slot int, now time.Time) []Action {
 	stored := s.ring[slot].slot
+	conflicted := s.conflicted
+	s.conflicted = false
 	if slot != s.slotFor(s.nextSequence) {
-		return nil
+		// The batch before is the one that was read earlier.
+		return s.readSlot(s.slotFor(s.nextSequence))
 	}
 	if stored.Sequence > s.nextSequence {
 		return s.startLoad()
 	}
+	if conflicted && stored.Sequence < s.nextSequence && s.nextSequence > 1 {
+		// Nothing newer explains the conflict: the batch before may be gone.
+		return s.readSlot(s.slotFor(s.nextSequence - 1))
+	}
 	s.syncedAt = now
 	if stored.Sequence == s.nextSequence {
 		s.mergeClaims(stored.Claims)
+		s.lastBatch = Slot{Sequence: stored.Sequence, Batch: stored.Batch}
 		s.nextSequence++
 		return s.readSlot(s.slotFor(s.nextSequence))
 	}
@@ -319,13 +349,25 @@
 	}
 	s.phase = writing
 	s.callInFlight = true
-	return []Action{WriteSlot{Slot: slot, Expected: s.ring[slot].revision, Value: s.batch}}
+	return []Action{s.newWrite()}
+}
+
+// newWrite returns the write of the batch. It requires that the batch before is still in the store, which a
+// store that was restored may have lost.
+func (s *Shard) newWrite() WriteSlot {
+	slot, previous := s.slotFor(s.batch.Sequence), s.slotFor(s.batch.Sequence-1)
+	w := WriteSlot{Slot: slot, Expected: s.ring[slot].revision, Value: s.batch}
+	if previous != slot && s.ring[previous].slot.Sequence == s.batch.Sequence-1 {
+		w.Previous, w.PreviousExpected = previous, s.ring[previous].revision
+	}
+	return w
 }
 
 // completeBatch replies to the requests of the batch that was written and starts
 // the next call.
 func (s *Shard) completeBatch(now time.Time) []Action {
 	s.mergeClaims(s.batch.Claims)
+	s.lastBatch = Slot{Sequence: s.batch.Sequence, Batch: s.batch.Batch}
 	s.nextSequence = s.batch.Sequence + 1
 	s.syncedAt = now
 	s.phase = idle
@@ -350,6 +392,9 @@
 	var out []Action
 	old := s.ring[s.slotFor(s.nextSequence)]
 	batch := Slot{Sequence: s.nextSequence, Claims: s.claimsToCarryOver(old.slot, now)}
+	if s.lastBatch.Sequence+1 == s.nextSequence {
+		batch.Previous = s.lastBatch.Batch
+	}
 	s.batchSerial++
 	batch.Batch = s.name + "/" + paddedHex(s.batchSerial)
 	added := make(map[Key]bool)
@@ -376,7 +421,7 @@
 	s.batch = batch
 	s.phase = writing
 	s.callInFlight = true
-	return append(out, WriteSlot{Slot: s.slotFor(s.nextSequence), Expected: old.revision, Value: batch})
+	return append(out, s.newWrite())
 }
 
 // answeredByView reports whether the view alone decides the request: another
--- a/pkg/fpclaim/shard_test.go
+++ b/pkg/fpclaim/shard_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -93,6 +94,9 @@
 	if m.store.slots[w.Slot].revision != w.Expected {
 		return false
 	}
+	if w.PreviousExpected > 0 && m.store.slots[w.Previous].revision != w.PreviousExpected {
+		return false
+	}
 	m.store.revision++
 	m.store.slots[w.Slot] = storedSlot{revision: m.store.revision, slot: w.Value}
 	return true
@@ -276,6 +280,46 @@
 	is.Equal(m.activeHolders("k2"), 0)
 }
 
+// TestRestoredStoreWithHigherRevisions checks that no claim is granted for a window after the store was
+// restored to an older state and written so often since that revisions and sequence numbers have passed
+// those of before: another host may have been granted the key of a lost claim.
+func TestRestoredStoreWithHigherRevisions(t *testing.T) {
+	tests := map[string]struct{ lost, written int }{
+		"as many batches as were lost": {lost: 1, written: 1},
+		"more batches than were lost":  {lost: 1, written: 2},
+		"more of both":                 {lost: 2, written: 3},
+		"fewer batches than were lost": {lost: 3, written: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := newSimulation(2, 8)
+			first, second := m.hosts[0], m.hosts[1]
+			m.requestClaim(first, "before", "a1")
+			m.answerAllCalls(first)
+			m.requestClaim(second, "before", "b1")
+			m.answerAllCalls(second)
+			backup := fakeStore{revision: m.store.revision, slots: slices.Clone(m.store.slots)}
+			for i := range tt.lost {
+				m.now = m.now.Add(time.Second)
+				m.requestClaim(first, Key(fmt.Sprint("lost", i)), "a2")
+				m.answerAllCalls(first)
+			}
+			backup.revision = m.store.revision + 100 // other keys were written
+			m.store = backup
+			for i := range tt.written {
+				m.now = m.now.Add(time.Second)
+				m.requestClaim(second, Key(fmt.Sprint("new", i)), "b2")
+				m.answerAllCalls(second)
+			}
+			m.now = m.now.Add(time.Second)
+			m.requestClaim(first, "later", "a3")
+			m.answerAllCalls(first)
+			is.Equal(len(m.granted["later"]), 0)
+		})
+	}
+}
+
 // TestExpiredClaimsDropped checks that claims older than the window are dropped
 // when their slot is replaced.
 func TestExpiredClaimsDropped(t *testing.T) {
--- a/pkg/fpclaim/types.go
+++ b/pkg/fpclaim/types.go
@@ -58,6 +58,8 @@
 	Slot struct {
 		Sequence uint64
 		Batch    string
+		// Previous is the batch before this one, "" if its writer did not know it.
+		Previous string `json:",omitempty"`
 		Claims   []Claim
 	}
 
@@ -83,6 +85,10 @@
 		Slot     int
 		Expected int64
 		Value    Slot
+		// Previous is the slot of the batch before, which must still have the revision
+		// PreviousExpected; 0 means that any will do.
+		Previous         int
+		PreviousExpected int64
 	}
 
 	// Reply is the verdict on one request for a claim; Claim is the holder's when
