--- a/internal/fpgateway/quarantine_test.go
+++ b/internal/fpgateway/quarantine_test.go
@@ -134,6 +134,22 @@
 	return f, []*testCluster{tc, other}
 }
 
+// sendEvery calls send with rising numbers at an interval, in goroutines of wg, until stop is closed.
+func sendEvery(wg *sync.WaitGroup, stop <-chan struct{}, interval time.Duration, send func(number int)) {
+	wg.Go(func() {
+		tick := time.NewTicker(interval)
+		defer tick.Stop()
+		for i := 0; ; i++ {
+			select {
+			case <-tick.C:
+				wg.Go(func() { send(i) })
+			case <-stop:
+				return
+			}
+		}
+	})
+}
+
 // TestDeadlyPartEndsReplicaAfterReplica sends requests with a prompt part that crashes each replica to
 // all hosts, amid harmless ones that share their other parts, and checks that soon none reaches a
 // replica, also through a host that starts later, and that the harmless ones are served.
@@ -145,21 +161,7 @@
 	var mu sync.Mutex
 	served, sent, refused := 0, 0, 0
 	var lateFrom time.Time
-	every := func(interval time.Duration, send func(number int)) {
-		wg.Go(func() {
-			tick := time.NewTicker(interval)
-			defer tick.Stop()
-			for i := 0; ; i++ {
-				select {
-				case <-tick.C:
-					wg.Go(func() { send(i) })
-				case <-stop:
-					return
-				}
-			}
-		})
-	}
-	every(harmlessInterval, func(i int) {
+	sendEvery(&wg, stop, harmlessInterval, func(i int) {
 		began := time.Now()
 		session := rand.IntN(20)
 		r := hosts[i%len(hosts)].sendNumberedRequest("hint", 1_000_000+i, withPrompt(fmt.Sprintf("aa:1200,s%d:40,own%d:20", session, i)))
@@ -172,7 +174,7 @@
 			}
 		}
 	})
-	every(deadlyInterval, func(i int) {
+	sendEvery(&wg, stop, deadlyInterval, func(i int) {
 		began := time.Now()
 		r := hosts[i%len(hosts)].sendNumberedRequest("hint", 2_000_000+i, withPrompt(fmt.Sprintf("aa:1200,s%d:40,%s:60,own-d%d:20", rand.IntN(20), deadlyPart, i)))
 		mu.Lock()
--- a/internal/fpgateway/repeat_test.go
+++ b/internal/fpgateway/repeat_test.go
@@ -61,20 +61,6 @@
 			isDeadly := func(r fpfake.ExecutedRequest) bool { return strings.HasSuffix(r.Target, "?"+deadlyQuery) }
 			var wg sync.WaitGroup
 			stop := make(chan struct{})
-			every := func(interval time.Duration, send func(number int)) {
-				wg.Go(func() {
-					tick := time.NewTicker(interval)
-					defer tick.Stop()
-					for i := 0; ; i++ {
-						select {
-						case <-tick.C:
-							wg.Go(func() { send(i) })
-						case <-stop:
-							return
-						}
-					}
-				})
-			}
 			var mu sync.Mutex
 			var lateFrom time.Time
 			sent, served, refused := 0, 0, 0
@@ -89,14 +75,14 @@
 					served++
 				}
 			}
-			every(harmlessInterval, func(i int) {
+			sendEvery(&wg, stop, harmlessInterval, func(i int) {
 				began := time.Now()
 				r := hosts[i%len(hosts)].sendNumberedRequest(tt.route, 1_000_000+i, func(q *http.Request) {
 					q.URL.RawQuery = url.Values{"harmless": {fmt.Sprint(i)}}.Encode()
 				})
 				countLate(began, r)
 			})
-			every(repeatInterval, func(i int) {
+			sendEvery(&wg, stop, repeatInterval, func(i int) {
 				r := hosts[i%len(hosts)].sendNumberedRequest(tt.route, 2_000_000+2*i, deadly)
 				if tt.retried && (r.err != nil || r.status == http.StatusBadGateway) {
 					fpclock.Sleep(context.Background(), retryDelay)
--- a/internal/fpgateway/restore_test.go
+++ b/internal/fpgateway/restore_test.go
@@ -20,7 +20,7 @@
 func (tc *testCluster) restoreStore(c *fpmemory.Store, change func()) {
 	tc.store.SetFault(fpfake.StoreFault{Status: http.StatusServiceUnavailable})
 	fpclock.Sleep(context.Background(), 200*time.Millisecond) // watches of before the fault end
-	tc.store.Restore(c)
+	tc.store.Restore(c, nil)
 	change()
 	tc.store.SetFault(fpfake.StoreFault{})
 }
