Request lines tell how long a request could still begin on replaced weights

The report of VERSION (work begun on replaced weights after the operator's bound) can have three causes that the lines could not tell apart: a host that did not know of the newer version, one that knew and misjudged its age, and a request that waited at its replica beyond the bound. A request's line now holds MayBeginIn, as judged when it was sent; the line of published weights holds the age of the last proof that there were none newer, "none" after a start.

--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -274,6 +274,15 @@
 	h.Set("Retry-After", strconv.FormatFloat(max(d, minRetryAfter).Seconds(), 'f', 3, 64))
 }
 
+// formatTimeToBegin returns how long the request could still have begun on the weights of its last replica
+// when it was sent there, "" without a bound.
+func (q *request) formatTimeToBegin(now time.Duration) string {
+	if q.sentAt == 0 || q.choice.Replica.Version >= q.snapshot.newestWeights(q.caller.Model).version {
+		return ""
+	}
+	return (q.timeToBegin(q.choice.Replica.Version) + now - q.sentAt).Round(time.Millisecond).String()
+}
+
 // roundSeconds rounds seconds to microseconds.
 func roundSeconds(s float64) float64 { return math.Round(s*1e6) / 1e6 }
 
@@ -313,7 +322,7 @@
 		"RequestID", q.caller.ID, "Route", route, "Team", team, "Status", q.status,
 		"Reason", q.reason, "Took", latency.String(), "First", q.firstByteDelay.String(), "Left", remaining.String(),
 		"ConfigVersion", version, "ProofAge", g.formatProofAge(now), "Replica", q.choice.Replica.ID,
-		"WeightsVersion", q.choice.Replica.Version, "Predicted", q.choice.PredictedWait.String(),
+		"WeightsVersion", q.choice.Replica.Version, "MayBeginIn", q.formatTimeToBegin(now), "Predicted", q.choice.PredictedWait.String(),
 		"Rank", q.choice.Rank, "Source", q.choice.SourceAddress, "Hit", q.choice.HitTokens, "Copied", q.choice.CopiedTokens, "Miss", q.choice.MissTokens,
 		"TokensPerSecond", int(q.choice.TokensPerSecond), "DrainTokensPerSecond", int(q.choice.DrainTokensPerSecond), "FixedSeconds", roundSeconds(q.choice.FixedSeconds), "RoundTripSeconds", roundSeconds(q.choice.RoundTripSeconds), "Trail", fmt.Sprint(q.trail),
 	}
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -331,7 +331,7 @@
 	}
 	// The list is copied, since snapshots share the old one.
 	c.publishedWeights[w.Model] = append(slices.Clip(list), publishedVersion{version: w.Version, publishedAt: now})
-	c.gateway.log("weights published", "Model", w.Model, "WeightsVersion", w.Version, "Revision", revision)
+	c.gateway.log("weights published", "Model", w.Model, "WeightsVersion", w.Version, "Revision", revision, "ProofAge", c.gateway.formatProofAge(now))
 }
 
 // recordReplicaVersion records a replica's weights version and the time until which it loads
