Orders that get no answer leave room for the loads of other replicas

Cause: an order without an answer held one of the two places of loads for as long as it took to be carried out, about 5 s, though its replica went on serving.

Evidence: TestLateOrdersHoldUpRollout, orders carried out 2.5 s late: 6 of 10 engines had the weights after 12 s, the bound; the log shows two at a time.

Change: a replica that left its order unanswered and reports no load lets another one have an order, as long as no more than twice the usual number could load at once.

--- a/internal/fpgateway/replaced_test.go
+++ b/internal/fpgateway/replaced_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/internal/fpgateway"
+	"github.com/fescuepoint/fescuepoint/platform/fpfake"
 	"github.com/fescuepoint/fescuepoint/platform/fpsoak"
 )
 
@@ -159,3 +162,36 @@
 		})
 	}
 }
+
+// TestLateOrdersHoldUpRollout publishes weights while orders get no answer and are carried out late. All
+// engines must have the weights when one and a half times the limit on replaced weights have passed.
+func TestLateOrdersHoldUpRollout(t *testing.T) {
+	t.Parallel()
+	const engineCount, limit = 10, 8 * time.Second
+	tc := prepareTestCluster(t)
+	for i := len(tc.engines); i < engineCount; i++ {
+		r := fpfake.NewReplica("e"+strconv.Itoa(i+1), "llm", "z1", "m")
+		t.Cleanup(r.Close)
+		tc.engines = append(tc.engines, r)
+		tc.store.Put("servers/"+r.ID, r.Registration("ready"))
+	}
+	for _, e := range tc.engines {
+		e.OrderDelay = 2500 * time.Millisecond
+	}
+	tc.hostSettings.OldWeightsLimit = limit
+	tc.chooseAddresses()
+	tc.store.Put("op/config", configDocument(1))
+	tc.startHost()
+	tc.waitFor(func() bool { _, ok := tc.store.GetString("fescuepoint/orders"); return ok }, "lease held")
+	published := fpclock.SinceBoot()
+	tc.store.Put("op/version/m", map[string]any{"model": "m", "version": 2})
+	outdated := func() bool {
+		return slices.ContainsFunc(tc.engines, func(e *fpfake.Replica) bool { return e.WeightsVersion() != 2 })
+	}
+	for outdated() && fpclock.SinceBoot()-published < 3*limit/2 {
+		fpclock.Sleep(context.Background(), 20*time.Millisecond)
+	}
+	if outdated() {
+		t.Fatalf("engines have outdated weights %v after the publication\n%s", fpclock.SinceBoot()-published, tc.linesWith("weights loaded"))
+	}
+}
--- a/internal/fpgateway/rollout.go
+++ b/internal/fpgateway/rollout.go
@@ -66,6 +66,9 @@
 		// noteAt is the earliest time of the next note of published weights.
 		noteAt          time.Duration
 		loadingReplicas map[string]bool
+		// unansweredOrders holds the replicas whose last order got no answer and that do not load, as far
+		// as is known.
+		unansweredOrders map[string]bool
 		// loadSeconds is the time from an order to a report of the new weights.
 		loadSeconds fpestimate.Quantity
 		updates     sync.WaitGroup
@@ -80,7 +83,7 @@
 )
 
 func newRollout(g *Gateway) *rollout {
-	return &rollout{gateway: g, planner: fporder.NewPlanner(), loadingReplicas: make(map[string]bool)}
+	return &rollout{gateway: g, planner: fporder.NewPlanner(), loadingReplicas: make(map[string]bool), unansweredOrders: make(map[string]bool)}
 }
 
 // run acquires the order lease when no other host holds it, and gives orders while it holds the
@@ -217,7 +220,7 @@
 	now := g.clock()
 	for model := range s.published.versions {
 		replicas, updates := r.plannerReplicas(s, model, s.published.newest(model).version)
-		r.planner.MaxLoading = max(minConcurrentLoads, len(replicas)/maxLoadingDivisor)
+		r.planner.MaxLoading = r.maxOrders(len(replicas))
 		for _, m := range r.planner.NextOrders(replicas, now) {
 			r.mu.Lock()
 			r.loadingReplicas[m.Name] = true
@@ -227,6 +230,27 @@
 	}
 }
 
+// maxOrders returns the number of replicas of a model that may load or have an order at once. One that left
+// its order unanswered still serves, and another may load meanwhile; as many as may load at once can
+// carry out such orders late, at the same time.
+func (r *rollout) maxOrders(replicas int) int {
+	loads := max(minConcurrentLoads, replicas/maxLoadingDivisor)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return loads + min(len(r.unansweredOrders), loads)
+}
+
+// setUnanswered records whether a replica left its order unanswered.
+func (r *rollout) setUnanswered(id string, unanswered bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if unanswered {
+		r.unansweredOrders[id] = true
+		return
+	}
+	delete(r.unansweredOrders, id)
+}
+
 // plannerReplicas lists a model's replicas for the planner: those with the oldest weights first,
 // then with zones alternating, then the least loaded first.
 func (r *rollout) plannerReplicas(s *snapshot, model string, wanted int64) ([]fporder.Replica, map[string]weightsUpdate) {
@@ -289,6 +313,7 @@
 	defer func() {
 		r.mu.Lock()
 		delete(r.loadingReplicas, id)
+		delete(r.unansweredOrders, id)
 		r.mu.Unlock()
 	}()
 	started := g.clock()
@@ -309,6 +334,7 @@
 			g.log("weights loaded", "Replica", id, "WeightsVersion", report.Versions[u.model], "Took", (now - started).String(), "Usual", r.loadTime().String())
 			return
 		case report.Busy:
+			r.setUnanswered(id, false)
 			g.announceWeights(id, report.Versions[u.model], r.pollInterval()+controlCallTimeout)
 		case now-lastOrder >= orderRetryInterval:
 			lastOrder = now
@@ -381,6 +407,7 @@
 		return false
 	}
 	status, _, err := g.callReplica(ctx, call)
+	r.setUnanswered(id, err != nil)
 	if err != nil {
 		g.log("no answer to the order", "Replica", id, "WeightsVersion", u.version, "Fence", o.FencingToken, "Error", err.Error())
 		return true
