Replicas whose weights may no longer be used load all at once

Cause: a rollout kept to two loads at once, and to a serving replica a zone, also when the bound had passed and the others served nothing any more: a limit that protected service that was gone.

Change: the planner takes a replica whose weights are outdated regardless of both limits, and doesn't count it as serving.

TestNextOrdersKeepsZonesServed has three cases more; the field is new, so they don't compile on the code before.

--- a/internal/fpgateway/rollout.go
+++ b/internal/fpgateway/rollout.go
@@ -280,6 +280,7 @@
 			Weights:       strconv.FormatInt(version[f.ID], 10),
 			WantedWeights: strconv.FormatInt(wanted, 10),
 			Loading:       loading, Leaving: f.Draining, Reachable: g.balancer.Reachable(f.ID, g.clock()),
+			Outdated: s.published.timeToBegin(model, version[f.ID], g.settings().OldWeightsLimit, g.clock()+weightsPropagationMargin) <= 0,
 		})
 		updates[f.ID] = weightsUpdate{replica: f, model: model, version: wanted}
 	}
--- a/pkg/fporder/order.go
+++ b/pkg/fporder/order.go
@@ -31,6 +31,9 @@
 		Loading       bool
 		Leaving       bool
 		Reachable     bool
+		// Outdated says that the weights may no longer be used, so that the replica serves nothing until it
+		// has loaded others.
+		Outdated bool
 	}
 
 	// Lease is the right to send orders, as its holder sees it. Its times come from a clock that
@@ -68,7 +71,7 @@
 // NextOrders returns the replicas to send an order to now and records these orders as pending.
 // Together with the replicas that load already they are at most as many as may load at once, and a
 // zone keeps a serving replica of each model unless another zone serves the model while its only
-// replica loads.
+// replica loads. Outdated replicas load regardless of these limits, since nothing is lost meanwhile.
 func (p *Planner) NextOrders(replicas []Replica, now time.Duration) []Replica {
 	loading := p.countLoading(replicas, now)
 	serving := make(map[string]int)
@@ -81,17 +84,19 @@
 	}
 	var out []Replica
 	for _, r := range replicas {
-		if loading >= p.maxLoading() {
-			break
+		if loading >= p.maxLoading() && !r.Outdated {
+			continue
 		}
 		if !r.Reachable || r.Loading || r.Leaving || r.Weights == r.WantedWeights || p.isPending(r.Name, now) {
 			continue
 		}
 		zoneModel := r.Zone + "/" + r.Model
-		if serving[zoneModel] < 2 && !p.servedInOtherZone(replicas, r, declared[zoneModel], now) {
+		if !r.Outdated && serving[zoneModel] < 2 && !p.servedInOtherZone(replicas, r, declared[zoneModel], now) {
 			continue
 		}
-		serving[zoneModel]--
+		if !r.Outdated {
+			serving[zoneModel]--
+		}
 		loading++
 		p.pending[r.Name] = now
 		out = append(out, r)
@@ -143,4 +148,4 @@
 	return ok && now-at < pendingTimeout
 }
 
-func (r Replica) isServing() bool { return r.Reachable && !r.Loading && !r.Leaving }
+func (r Replica) isServing() bool { return r.Reachable && !r.Loading && !r.Leaving && !r.Outdated }
--- a/pkg/fporder/order_test.go
+++ b/pkg/fporder/order_test.go
@@ -42,6 +42,9 @@
 		"the model's only replica keeps serving":      {func([]Replica) {}, []string{"x"}, ""},
 		"leaving replica":                             {func(r []Replica) { r[0].Leaving = true }, []string{"x", "x", "x"}, "b"},
 		"all replicas have the wanted weights":        {func(r []Replica) { r[0].Weights, r[1].Weights = "2", "2" }, []string{"x", "x"}, ""},
+		"outdated replicas load all at once":          {func(r []Replica) { r[0].Outdated, r[1].Outdated, r[2].Outdated = true, true, true }, []string{"x", "x", "x", "y"}, "abc"},
+		"outdated replicas beside others":             {func(r []Replica) { r[0].Outdated, r[3].Outdated = true, true }, []string{"x", "x", "x", "y"}, "abd"},
+		"outdated only replica":                       {func(r []Replica) { r[0].Outdated = true }, []string{"x"}, "a"},
 		"unreachable replica":                         {func(r []Replica) { r[2].Reachable = false }, []string{"x", "x", "y"}, "a"},
 	}
 	for name, tt := range tests {
