Weights of unknown age don't bind calls to plain services

What callers would have seen: a call that names a model, sent to a service without one, failed with 503 at a host that had started after the model's weights were published.

Cause: the timer that ends an attempt which has not begun in time was set for all replicas; a plain one has weights version 0, replaced at any time.

Change: the timer is set for engines only, as the choice of the replica does. TestCallThatNamesModel passes.

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -219,10 +219,13 @@
 	defer cancel()
 	// A request that has not begun by the time that its replica's weights may no longer be used would
 	// begin too late.
-	beginLimit := time.AfterFunc(q.timeToBegin(c.Replica.Version), cancel)
-	defer beginLimit.Stop()
+	stopBeginLimit := func() bool { return true }
+	if c.Replica.Engine {
+		stopBeginLimit = time.AfterFunc(q.timeToBegin(c.Replica.Version), cancel).Stop
+	}
+	defer stopBeginLimit()
 	onFirstByte := func() {
-		beginLimit.Stop()
+		stopBeginLimit()
 		started = true
 		now := g.clock()
 		if q.firstByteDelay == 0 {
--- a/internal/fpgateway/replaced_test.go
+++ b/internal/fpgateway/replaced_test.go
@@ -195,3 +195,16 @@
 		t.Fatalf("engines have outdated weights %v after the publication\n%s", fpclock.SinceBoot()-published, tc.linesWith("weights loaded"))
 	}
 }
+
+// TestCallThatNamesModel checks that weights of unknown age don't bind requests to plain services.
+func TestCallThatNamesModel(t *testing.T) {
+	tc := prepareTestCluster(t)
+	tc.store.Put("op/config", configDocument(1))
+	tc.store.Put("op/version/m", map[string]any{"model": "m", "version": 1})
+	tc.startHost()
+	tc.waitFor(tc.isReady, "ready")
+	for _, route := range []string{"call", "read"} {
+		r := tc.sendRequest(route, func(q *http.Request) { q.Header.Set("Model", "m") })
+		is.New(t).Equal(r.status, http.StatusOK)
+	}
+}
