Notes of published weights prove their age also after a change of holder

What callers would have seen: requests on replaced weights beyond the bound at hosts that start in rare orders of events, and one case without orders.

- Versions 1, 2, 3, all hosts killed before 3 is noted: version 1 was bound by 3 alone ('status 200 on v1, 10.1s after v2 was published, limit 8 s').
- An order lease that was acquired after the publication was taken for proof that its holder would have noted it ('v1 may begin in 6.5s').
- A holder whose notes are refused kept the lease by renewals ('status 200 on v1, 14.0s after v2 was published, limit 10 s').
- The reader's limit, not the writer's, gave the age of the key ('before the answer -8s, after it 2.5s').
- A lease granted late, after a suspension, or longer than the store grants.
- Notes without an answer blocked the holder's loop: no order within 14 s.

Change: a noted version below the newest bounds those before it; the lease must be older than the version; a holder that can't note for 5 s gives up the lease; the record names the age at which its key ends; a late grant is not used; notes run beside the orders.

--- a/internal/fpgateway/published.go
+++ b/internal/fpgateway/published.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuepoint/fescuepoint/internal/fpstore"
 )
 
@@ -26,16 +28,24 @@
 	recentWeightsReserve = 1.0 / 3
 	// recentLeaseTimeout bounds the grant of the key's lease, and so how much later the lease may begin.
 	recentLeaseTimeout = 500 * time.Millisecond
-	// minRecentTTL is the shortest useful time to live of the key, and noteRetryPause the pause after a write.
+	// minRecentTTL is the shortest useful time to live of the key, maxRecentTTL the longest that the store
+	// grants, and noteRetryPause the pause after a write.
 	minRecentTTL   = time.Second
+	maxRecentTTL   = 10 * time.Minute
 	noteRetryPause = time.Second
 	// notingDelay bounds the time from a publication until the order lease's holder has noted it: a watch,
 	// a batch delay and a write.
 	notingDelay = 2500 * time.Millisecond
+	// maxUnnotedTime is how long a holder may fail to note a version before it gives up the lease: the note
+	// is seen with a later answer of the store.
+	maxUnnotedTime = 2 * notingDelay
 	// unknownPublication is the publication time of weights that may have been published at any time.
 	unknownPublication = -100 * 365 * 24 * time.Hour
 )
 
+// errLeaseTooLate means that a lease may have begun too long after its time to live was determined.
+var errLeaseTooLate = errors.New("the lease was granted too late")
+
 type (
 	// publishedVersion is a published version of a model's weights. It was published no earlier than
 	// weightsPropagationMargin before publishedAt.
@@ -50,11 +60,13 @@
 		revision int64
 	}
 
-	// weightsRecord is the value of the keys in the store. Former is the version published before, and
-	// Incarnation that of the store: a copy may list a recent version that has long been replaced.
+	// weightsRecord is the value of the keys in the store. Former is the version published before, RecentMs
+	// the age in milliseconds at which the key ends, and Incarnation that of the store: a copy may list a
+	// recent version that has long been replaced.
 	weightsRecord struct {
 		Version     int64
 		Former      int64 `json:",omitempty"`
+		RecentMs    int64 `json:",omitempty"`
 		Incarnation int64 `json:",omitempty"`
 	}
 
@@ -62,7 +74,9 @@
 	// which are never changed in place.
 	publications struct {
 		versions map[string][]publishedVersion
-		noted    map[string]notedWeights
+		// revisions holds the store's revision of each model's newest version.
+		revisions map[string]int64
+		noted     map[string]notedWeights
 		// recent holds the records of recent versions, by the key without its prefix.
 		recent map[string]weightsRecord
 	}
@@ -70,9 +84,10 @@
 
 func newPublications() publications {
 	return publications{
-		versions: make(map[string][]publishedVersion),
-		noted:    make(map[string]notedWeights),
-		recent:   make(map[string]weightsRecord),
+		versions:  make(map[string][]publishedVersion),
+		revisions: make(map[string]int64),
+		noted:     make(map[string]notedWeights),
+		recent:    make(map[string]weightsRecord),
 	}
 }
 
@@ -157,14 +172,13 @@
 
 // raiseRecent raises the publication times of the versions whose keys existed at the given time. Versions
 // before the one that such a version replaced are bound by that one's publication.
-func (p publications) raiseRecent(incarnation int64, limit, existedAt time.Duration) {
-	oldest := existedAt - recentAge(limit) - recentLeaseTimeout
+func (p publications) raiseRecent(incarnation int64, existedAt time.Duration) {
 	for name, w := range p.recent {
 		i := strings.LastIndexByte(name, '/')
-		if i < 0 || w.Incarnation != incarnation {
+		if i < 0 || w.Incarnation != incarnation || w.RecentMs <= 0 {
 			continue
 		}
-		p.raise(name[:i], w.Version, oldest)
+		p.raise(name[:i], w.Version, existedAt-time.Duration(w.RecentMs)*time.Millisecond-recentLeaseTimeout)
 		if w.Former > 0 {
 			p.raise(name[:i], w.Former, unknownPublication)
 		}
@@ -193,45 +207,74 @@
 		at = min(now, now-age+weightsPropagationMargin)
 	}
 	c.published.raise(w.Model, w.Version, at)
+	c.published.revisions[w.Model] = revision
 	c.gateway.log("weights published", "Model", w.Model, "WeightsVersion", w.Version, "Revision", revision, "ProofAge", c.gateway.formatProofAge(now))
 }
 
 // ageUnnotedWeights bounds the age of versions in the first list of this process that nobody has noted. If
-// the list shows the order lease, a holder was alive within its time to live and would have noted what had
-// been published for long.
+// the list shows an order lease that is older than the version, its holder was alive within the lease's time
+// to live and would have noted what had been published for long. Weights before the noted version are bound
+// by the publication of that one.
 func (c *controlState) ageUnnotedWeights(listedAt time.Duration) {
-	if c.orderLeaseHolder == "" {
-		return
-	}
 	for model := range c.published.versions {
-		if n := c.published.newest(model); n.version > c.published.noted[model].version {
-			at := listedAt - c.gateway.settings().OrderLeaseTTL - notingDelay + weightsPropagationMargin
-			c.published.raise(model, n.version, at)
-			c.gateway.log("weights not noted before the start", "Model", model, "WeightsVersion", n.version, "AtMost", (listedAt - at).String())
+		n, noted := c.published.newest(model), c.published.noted[model]
+		if n.version <= noted.version {
+			continue
 		}
+		if noted.version > 0 {
+			c.published.raise(model, noted.version, unknownPublication)
+		}
+		if c.orderLeaseHolder == "" || c.published.revisions[model] < c.orderLeaseRevision {
+			continue
+		}
+		at := listedAt - c.gateway.settings().OrderLeaseTTL - notingDelay + weightsPropagationMargin
+		c.published.raise(model, n.version, at)
+		c.gateway.log("weights not noted before the start", "Model", model, "WeightsVersion", n.version, "AtMost", (listedAt - at).String())
 	}
 }
 
-// noteWeights notes the newest published versions in the store while this host holds the order lease.
+// noteWeights notes the newest published versions in the store while this host holds the order lease. The
+// rollout does not wait for it.
 func (r *rollout) noteWeights(ctx context.Context) {
 	s := r.gateway.snapshot.Load()
-	if r.gateway.clock() < r.noteAt || r.leaseID.Incarnation != s.incarnation {
+	now := r.gateway.clock()
+	if r.leaseID.Incarnation != s.incarnation {
 		return
 	}
 	for model := range s.published.versions {
 		newest, noted := s.published.newest(model), s.published.noted[model]
 		if newest.version <= noted.version {
+			delete(r.unnotedSince, model)
 			continue
 		}
-		// The snapshot shows a note with the next answer of the store.
-		r.noteAt = r.gateway.clock() + noteRetryPause
-		ttl, err := r.noteVersion(ctx, s, model, newest, noted)
-		if err != nil {
-			r.gateway.log("weights not recorded", "Model", model, "WeightsVersion", newest.version, "Error", err.Error())
+		if _, ok := r.unnotedSince[model]; !ok {
+			r.unnotedSince[model] = now
+		}
+		if now < r.noteAt[model] {
 			continue
 		}
-		r.gateway.log("weights recorded", "Model", model, "WeightsVersion", newest.version, "RecentFor", ttl.String())
+		// The snapshot shows a note with the next answer of the store.
+		r.noteAt[model] = now + noteRetryPause
+		r.updates.Go(func() {
+			ttl, err := r.noteVersion(ctx, s, model, newest, noted)
+			if err != nil {
+				r.gateway.log("weights not recorded", "Model", model, "WeightsVersion", newest.version, "Error", err.Error())
+				return
+			}
+			r.gateway.log("weights recorded", "Model", model, "WeightsVersion", newest.version, "RecentFor", ttl.String())
+		})
+	}
+}
+
+// cannotNote reports whether a version could not be noted for so long that another host should hold the
+// lease: hosts that start take its holder for one that notes what is published.
+func (r *rollout) cannotNote(now time.Duration) bool {
+	for _, since := range r.unnotedSince {
+		if now-since >= maxUnnotedTime {
+			return true
+		}
 	}
+	return false
 }
 
 // noteVersion notes one version, and records it as recent for as long as it is. It returns the time to
@@ -240,7 +283,10 @@
 	g := r.gateway
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	value, err := json.Marshal(weightsRecord{Version: n.version, Former: s.published.former(model), Incarnation: s.incarnation})
+	recent := recentAge(g.settings().OldWeightsLimit)
+	value, err := json.Marshal(weightsRecord{
+		Version: n.version, Former: s.published.former(model), RecentMs: recent.Milliseconds(), Incarnation: s.incarnation,
+	})
 	if err != nil {
 		return 0, err
 	}
@@ -248,7 +294,8 @@
 		Conditions: []fpstore.Condition{{Key: notedWeightsPrefix + model, Revision: noted.revision}},
 		Puts:       []fpstore.Put{{Key: notedWeightsPrefix + model, Value: value}},
 	}
-	ttl := max(n.publishedAt+recentAge(g.settings().OldWeightsLimit)-g.clock(), 0)
+	sentAt := g.clock()
+	ttl := min(max(n.publishedAt+recent-sentAt, 0), maxRecentTTL)
 	if ttl >= max(g.settings().MinLeaseTTL, minRecentTTL) {
 		grantCtx, cancelGrant := context.WithTimeout(ctx, recentLeaseTimeout)
 		defer cancelGrant()
@@ -256,6 +303,9 @@
 		if err != nil {
 			return 0, err
 		}
+		if g.clock()-sentAt > recentLeaseTimeout {
+			return 0, errLeaseTooLate
+		}
 		t.Puts = append(t.Puts, fpstore.Put{Key: recentWeightsKey(model, n.version), Value: value, Lease: id})
 	}
 	_, err = g.store.Commit(ctx, t)
--- a/internal/fpgateway/replaced_test.go
+++ b/internal/fpgateway/replaced_test.go
@@ -13,6 +13,9 @@
 
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/internal/fpgateway"
+	"github.com/fescuepoint/fescuepoint/internal/fplog"
+	"github.com/fescuepoint/fescuepoint/internal/fpstore"
+	"github.com/fescuepoint/fescuepoint/platform/fpadapter"
 	"github.com/fescuepoint/fescuepoint/platform/fpfake"
 	"github.com/fescuepoint/fescuepoint/platform/fpsoak"
 )
@@ -208,3 +211,36 @@
 		is.New(t).Equal(r.status, http.StatusOK)
 	}
 }
+
+// hangingNotes is a store in which notes of published weights get no answer.
+type hangingNotes struct{ fpstore.Store }
+
+func (s hangingNotes) Commit(ctx context.Context, t fpstore.Transaction) (fpstore.Position, error) {
+	if len(t.Puts) > 0 && strings.HasPrefix(t.Puts[0].Key, "fescuepoint/weights/") {
+		<-ctx.Done()
+		return fpstore.Position{}, fpstore.ErrOutcomeUnknown
+	}
+	return s.Store.Commit(ctx, t)
+}
+
+// TestHangingNotesHoldUpOrders publishes weights of three models while notes of them get no answer.
+func TestHangingNotesHoldUpOrders(t *testing.T) {
+	t.Parallel()
+	tc := prepareTestCluster(t)
+	tc.store.Put("op/config", configDocument(1))
+	ctx, cancel := context.WithCancel(context.Background())
+	g := fpgateway.New(tc.hostSettings, fpgateway.Dependencies{
+		Store: hangingNotes{fpadapter.NewStore(tc.hostSettings.StoreAddress)}, Dialect: fpadapter.Dialect{}, Clock: fpclock.SinceBoot, Log: fplog.NewQueue(tc.logs),
+	})
+	done := make(chan error, 1)
+	go func() { done <- g.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	tc.waitFor(func() bool { _, ok := tc.store.GetString("fescuepoint/orders"); return ok }, "lease held")
+	for _, m := range []string{"n", "o", "m"} {
+		tc.store.Put("op/version/"+m, map[string]any{"model": m, "version": 2})
+	}
+	tc.waitFor(func() bool { return tc.engines[0].WeightsVersion() == 2 && tc.engines[1].WeightsVersion() == 2 }, "weights in place")
+}
--- a/internal/fpgateway/rollout.go
+++ b/internal/fpgateway/rollout.go
@@ -63,8 +63,10 @@
 		lastRenewal time.Duration
 		// retryAt is the earliest time of the next attempt to acquire the lease.
 		retryAt time.Duration
-		// noteAt is the earliest time of the next note of published weights.
-		noteAt          time.Duration
+		// noteAt holds the earliest time of the next note of a model's weights, and unnotedSince since when
+		// they are to be noted.
+		noteAt          map[string]time.Duration
+		unnotedSince    map[string]time.Duration
 		loadingReplicas map[string]bool
 		// unansweredOrders holds the replicas whose last order got no answer and that do not load, as far
 		// as is known.
@@ -83,7 +85,11 @@
 )
 
 func newRollout(g *Gateway) *rollout {
-	return &rollout{gateway: g, planner: fporder.NewPlanner(), loadingReplicas: make(map[string]bool), unansweredOrders: make(map[string]bool)}
+	return &rollout{
+		gateway: g, planner: fporder.NewPlanner(),
+		noteAt: make(map[string]time.Duration), unnotedSince: make(map[string]time.Duration),
+		loadingReplicas: make(map[string]bool), unansweredOrders: make(map[string]bool),
+	}
 }
 
 // run acquires the order lease when no other host holds it, and gives orders while it holds the
@@ -118,6 +124,10 @@
 	if r.holdsLease() && r.leaseID.Incarnation < s.incarnation {
 		r.dropLease(fpstore.ErrRestored.Error())
 	}
+	if r.holdsLease() && r.cannotNote(now) {
+		r.dropLease("published weights can't be noted in the store")
+		r.retryAt = now + r.gateway.settings().OrderLeaseTTL
+	}
 	if !r.holdsLease() {
 		if s.catalog == nil || s.orderLeaseHolder != "" || s.storeUnreachable || !r.formerLeaseEnded(s, now) {
 			return false
@@ -208,6 +218,7 @@
 	}
 	r.gateway.log("order lease no longer held", "Fence", r.lease.FencingToken, "Reason", reason)
 	r.leaseID = fpstore.LeaseID{}
+	clear(r.unnotedSince)
 	r.mu.Lock()
 	r.lease = fporder.Lease{}
 	r.mu.Unlock()
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -46,6 +46,8 @@
 		proof fpfresh.Proof
 		// orderLeaseHolder is the holder of the order lease according to the store, "" for none.
 		orderLeaseHolder string
+		// orderLeaseRevision is the revision at which that holder acquired the lease.
+		orderLeaseRevision int64
 		// incarnation is the store's, as of the last complete list, and incarnationSince when this host
 		// learnt it.
 		incarnation      int64
@@ -141,7 +143,7 @@
 	if !listedBefore {
 		c.ageUnnotedWeights(u.SentAt)
 	}
-	c.published.raiseRecent(c.incarnation, c.gateway.settings().OldWeightsLimit, u.SentAt)
+	c.published.raiseRecent(c.incarnation, u.SentAt)
 	// A store that lacks the configuration in force may also lack a later one that it confirmed.
 	if !c.storeBehind {
 		c.proof = c.proof.WithAnswer(u.SentAt)
@@ -213,7 +215,7 @@
 		return
 	}
 	if i.Key == orderLeaseKey {
-		c.orderLeaseHolder = string(i.Value)
+		c.orderLeaseHolder, c.orderLeaseRevision = string(i.Value), i.Revision
 		c.gateway.log("order lease entry received", "Holder", c.orderLeaseHolder, "Revision", i.Revision)
 		return
 	}
