A host that restarted takes no part in the proof that a request never ran

What callers saw: "not run" for a repeat of a call that a host had sent before it restarted, while the platform was out of reach. The caller may then send it again, and it runs twice.

Cause: whether a host has been up for the whole window was judged by the asking host, from the incarnation that it had heard of, and by the time of day. A restarted host whose heartbeat had not come yet counted as up for long and answered "I know nothing of it"; so did a host whose time of day was set forward after its start.

Evidence, TestNotRunSaidAfterRestart on the code before (with the new field only declared):

broker_test.go:50: true != false broker_test.go:50: true != false --- FAIL: .../peer_restarted,_its_heartbeat_not_here_yet --- FAIL: .../time_of_day_set_forward_since_this_host's_start

Change: each process answers for itself, from its start on the monotonic clock, that it may have dispatched what it can't know. The test by incarnation stays beside it.

Result: the six cases pass; TestAtMostOnce and TestGoodput pass.

--- a/internal/fpclaimant/broker.go
+++ b/internal/fpclaimant/broker.go
@@ -36,12 +36,14 @@
 
 type (
 	// Member describes a host; Incarnation is its start time in Unix nanoseconds,
-	// or zero when it never sent a heartbeat.
+	// or zero when it never sent a heartbeat. StartedAt, set for this host alone, is the same moment
+	// with a monotonic reading, which a change of the time of day leaves as it is.
 	Member struct {
 		Name        string
 		Zone        string
 		Address     string
 		Incarnation uint64
+		StartedAt   time.Time
 		Dead        bool
 	}
 
@@ -169,7 +171,7 @@
 // could have been dispatched.
 func (b *Broker) ProvenNeverDispatched(ctx context.Context, key fpclaim.Key) bool {
 	members := b.members()
-	if len(members) > maxDispatchQueryHosts || !b.upForWholeWindow(b.self) {
+	if len(members) > maxDispatchQueryHosts || !b.upForWholeWindow(b.self) || !b.knowsWholeWindow() {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, dispatchQueryTimeout)
@@ -192,12 +194,23 @@
 	return all
 }
 
+// upForWholeWindow reports whether a host's incarnation, as far as this host has heard, is older than
+// the window.
 func (b *Broker) upForWholeWindow(m Member) bool {
 	return m.Incarnation != 0 && time.Since(time.Unix(0, int64(m.Incarnation))) > b.window
 }
 
-// MayHaveDispatched reports whether this host may have dispatched a request, or may still do so.
-func (b *Broker) MayHaveDispatched(key fpclaim.Key) bool { return b.attempts.MayHaveDispatched(key) }
+// knowsWholeWindow reports whether this process has run for longer than the window. A host answers
+// this for itself, since others may not have heard of its restart yet.
+func (b *Broker) knowsWholeWindow() bool {
+	return !b.self.StartedAt.IsZero() && time.Since(b.self.StartedAt) > b.window
+}
+
+// MayHaveDispatched reports whether this host, or an earlier process of it that this one knows nothing
+// of, may have dispatched a request within the window, or may still do so.
+func (b *Broker) MayHaveDispatched(key fpclaim.Key) bool {
+	return !b.knowsWholeWindow() || b.attempts.MayHaveDispatched(key)
+}
 
 // SettleClaim settles a claim at the platform on behalf of another host.
 func (b *Broker) SettleClaim(ctx context.Context, c fpclaim.Claim, wait time.Duration) ClaimResult {
--- a/internal/fpdispatch/testfleet_test.go
+++ b/internal/fpdispatch/testfleet_test.go
@@ -122,7 +122,7 @@
 		Shard:  fpclaim.Settings{Slots: 3, Window: testDedupWindow, Linger: 3 * time.Millisecond},
 	})
 	go func() { _ = h.claimant.Run(ctx) }()
-	self := fpclaimant.Member{Name: h.name, Zone: h.zone(), Incarnation: h.incarnation}
+	self := fpclaimant.Member{Name: h.name, Zone: h.zone(), Incarnation: h.incarnation, StartedAt: started}
 	h.broker = fpclaimant.NewBroker(self, testDedupWindow, h.claimant, h.answers, hostPeers{h}, h.members, func() {})
 	h.client = fpupstream.NewClient(fpupstream.Settings{Dialer: tf.network.Dial})
 	h.state.Publish(&fpstate.Snapshot{Services: map[string][]fpstate.Upstream{"booking": {
--- a/internal/fphost/host.go
+++ b/internal/fphost/host.go
@@ -45,6 +45,7 @@
 		settings    fpsetting.Settings
 		logger      log.Logger
 		incarnation uint64
+		startedAt   time.Time
 		snapshots   fpstate.Holder
 		controlLoop *controlLoop
 		control     *controlState
@@ -80,10 +81,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "Peers.SecretFile")
 	}
+	startedAt := time.Now()
 	h := &Host{
 		settings:       s,
 		logger:         log.With(l, "Host", s.Host.Name),
-		incarnation:    uint64(time.Now().UnixNano()),
+		incarnation:    uint64(startedAt.UnixNano()),
+		startedAt:      startedAt,
 		controlLoop:    newControlLoop(),
 		store:          fpplatform.NewClient(s.Platform.Address),
 		upstreams:      fpupstream.NewClient(fpupstream.Settings{SilenceTimeout: s.Placement.Silence}),
@@ -115,7 +118,7 @@
 		Shards: s.Claims.Shards,
 		Shard:  fpclaim.Settings{Slots: s.Claims.Slots, Window: s.Claims.Window, Linger: s.Claims.Linger},
 	})
-	self := fpclaimant.Member{Name: s.Host.Name, Zone: s.Host.AvailabilityZone, Incarnation: h.incarnation}
+	self := fpclaimant.Member{Name: s.Host.Name, Zone: s.Host.AvailabilityZone, Incarnation: h.incarnation, StartedAt: h.startedAt}
 	h.Broker = fpclaimant.NewBroker(self, s.Claims.Window, h.claimant, h.attempts, h.peers, h.brokerMembers,
 		func() { h.metrics.AddToCounter("claims_relayed", 1) })
 	h.follower = fpfollower.New(h.store, h.handleConfigChange)
