--- a/internal/fphost/rollout.go
+++ b/internal/fphost/rollout.go
@@ -25,6 +25,7 @@
 	// rolloutRunner sends the weight orders while this host holds the rollout lease.
 	rolloutRunner struct {
 		host      *Host
+		clock     fpclock.Clock
 		planner   *fporder.Planner
 		lease     fporder.Lease
 		leaseID   fpstore.LeaseID
@@ -35,7 +36,7 @@
 // runRollout orders replicas to load their wanted weights whenever some differ
 // and this host gets the rollout lease. It releases the lease at a planned stop.
 func (h *Host) runRollout(ctx context.Context) error {
-	r := &rolloutRunner{host: h, planner: fporder.NewPlanner()}
+	r := &rolloutRunner{host: h, clock: fpclock.SinceBoot, planner: fporder.NewPlanner()}
 	defer r.releaseLease()
 	return runEvery(ctx, rolloutInterval, func() { r.sendDueOrders(ctx) })
 }
@@ -56,10 +57,10 @@
 		r.clearLease()
 		return
 	}
-	if !r.lease.MayOrder(fpclock.SinceBoot()) {
+	if !r.lease.MayOrder(r.clock()) {
 		return
 	}
-	for _, replica := range r.planner.NextOrders(replicas, fpclock.SinceBoot()) {
+	for _, replica := range r.planner.NextOrders(replicas, r.clock()) {
 		r.sendOrder(ctx, s, replica)
 	}
 }
@@ -70,7 +71,7 @@
 	if err != nil || v.Revision != 0 {
 		return false
 	}
-	start := fpclock.SinceBoot()
+	start := r.clock()
 	leaseID, err := r.host.store.GrantLease(ctx, fporder.LeaseTTL)
 	if err != nil {
 		return false
@@ -82,7 +83,7 @@
 	}
 	r.leaseID = leaseID
 	r.renewedAt = start
-	r.lease = fporder.Lease{FencingToken: position.FencingToken(), AcquiredAt: fpclock.SinceBoot(), ExpiresAt: start + fporder.LeaseTTL}
+	r.lease = fporder.Lease{FencingToken: position.FencingToken(), AcquiredAt: r.clock(), ExpiresAt: start + fporder.LeaseTTL}
 	return true
 }
 
@@ -90,7 +91,7 @@
 // renewal counts from before it was sent, so that the lease never seems to last longer than it
 // does.
 func (r *rolloutRunner) renewLease(ctx context.Context) bool {
-	start := fpclock.SinceBoot()
+	start := r.clock()
 	if start-r.renewedAt < fporder.RenewInterval {
 		return true
 	}
@@ -122,9 +123,11 @@
 	r.clearLease()
 }
 
-// sendOrder sends one order if the lease still permits it, and records the result.
+// sendOrder sends one order if the lease still permits it, and records the result. The order's
+// deadline counts from before the lease is checked, so that it passes during a pause after the check.
 func (r *rolloutRunner) sendOrder(ctx context.Context, s *fpstate.Snapshot, replica fporder.Replica) {
-	if !r.lease.MayOrder(fpclock.SinceBoot()) {
+	deadline := time.Now().Add(fporder.OrderTimeout)
+	if !r.lease.MayOrder(r.clock()) {
 		return
 	}
 	u, ok := s.Config.Document.Upstream(replica.Name)
@@ -135,7 +138,7 @@
 		Fencing:       r.lease.FencingToken,
 		Weights:       replica.WantedWeights,
 		ConfigVersion: s.Config.Version,
-		Deadline:      time.Now().Add(fporder.OrderTimeout).UnixMilli(),
+		Deadline:      deadline.UnixMilli(),
 	})
 	reason := "load weights " + replica.WantedWeights
 	if err != nil {
