The start delay of a host doesn't depend on the time of day

What callers saw: after a start of all hosts, refusals for as long as the time of day was set back just after it, an hour here.

Cause: a host without a configuration asks the platform for it when its start delay, some milliseconds for each known host, is over; that was counted by the time of day from its incarnation.

Evidence, TestClockSetBackAfterStart on the code before:

start_test.go:19: not true: h.shouldWatchPlatform() --- FAIL: TestClockSetBackAfterStart

Change: it counts from the start's monotonic reading.

Result: the test passes, also its second half (the delay is still kept).

--- a/internal/fphost/gossip.go
+++ b/internal/fphost/gossip.go
@@ -185,7 +185,7 @@
 // platform watchers of its zone.
 func (h *Host) shouldWatchPlatform() bool {
 	if _, loaded := h.follower.Replica(); !loaded {
-		return time.Since(time.Unix(0, int64(h.incarnation))) >= h.startDelay
+		return time.Since(h.startedAt) >= h.startDelay
 	}
 	result := make(chan bool, 1)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
