A broken answer goes on only at the software version that began it

What callers saw: an answer whose first part one build of the engine wrote and whose rest another build wrote, delivered as complete. What two builds write doesn't fit together, and engines don't check it.

Cause: the router continued a broken answer on any engine of the same weights. Engines told no software version.

Evidence, TestStreamJoinedFromTwoBuilds with engines that tell their version and a router that carries it to placement but doesn't pin it, eight of nine cases fail (the ninth: no engine tells a version):

build_test.go:85: Complete != Failed build_test.go:87: not true: strings.HasPrefix(want.text.String(), got.text.String()) build_test.go:88: true != false build_test.go:90: 1 != 0 --- FAIL: .../only_another_version_is_free --- FAIL: .../only_an_engine_without_a_version_is_free --- FAIL: .../begun_without_a_version,_only_one_is_free --- FAIL: .../one_of_the_same_version_is_free --- FAIL: .../the_other_restarted_since_its_report --- FAIL: .../the_other_restarted,_a_third_is_free --- FAIL: .../the_first_had_restarted_since_its_report --- FAIL: .../the_first_restarts_and_keeps_the_attempt

Change: load reports have SoftwareVersion, answers the header X-Software-Version; an engine that tells none has "". Once text was delivered, placement takes only replicas of the version that the answering process told (that of its last report, if the answer tells none), and each further connection, to another engine or resumed at the same one, is checked before its first byte is delivered. An engine that restarted with another build between its report and its answer is given up, without a failure in its circuit, and the next one is tried; where none is left the answer is broken off and told as failed.

Result: the nine cases pass, ten times, among them three in which the answer goes on at an engine of the same version, byte for byte as an uncut one. TestStreamRecovery, TestPlace and the other tests of the packages pass. Engines that tell the version in reports alone keep a gap (PROMISES.md).

--- a/cmd/fescuestandin/main.go
+++ b/cmd/fescuestandin/main.go
@@ -46,18 +46,19 @@
 
 	engineCommand struct {
 		listenFlags
-		Name          string        `help:"Name." required:""`
-		Model         string        `help:"Model that it serves." required:""`
-		Weights       string        `help:"Weights version that it starts with." default:"1"`
-		ChecksFencing bool          `help:"Refuse orders with an old fencing token."`
-		WeightStore   string        `help:"Address of the weight store."`
-		PrefillRate   float64       `help:"Prompt tokens computed a second." default:"20000"`
-		CacheBlocks   int           `help:"Blocks of a thousand tokens that fit the cache." default:"200"`
-		TokenInterval time.Duration `help:"Time between tokens." default:"12ms"`
-		EventLoss     float64       `help:"Share of cache events that are lost."`
-		EventLag      time.Duration `help:"How late cache events can be read."`
-		ReportLag     time.Duration `help:"How old load reports are."`
-		CacheStore    string        `help:"Address of the store that cache blocks are exported to."`
+		Name            string        `help:"Name." required:""`
+		Model           string        `help:"Model that it serves." required:""`
+		Weights         string        `help:"Weights version that it starts with." default:"1"`
+		SoftwareVersion string        `help:"Software version that it tells in reports and answers."`
+		ChecksFencing   bool          `help:"Refuse orders with an old fencing token."`
+		WeightStore     string        `help:"Address of the weight store."`
+		PrefillRate     float64       `help:"Prompt tokens computed a second." default:"20000"`
+		CacheBlocks     int           `help:"Blocks of a thousand tokens that fit the cache." default:"200"`
+		TokenInterval   time.Duration `help:"Time between tokens." default:"12ms"`
+		EventLoss       float64       `help:"Share of cache events that are lost."`
+		EventLag        time.Duration `help:"How late cache events can be read."`
+		ReportLag       time.Duration `help:"How old load reports are."`
+		CacheStore      string        `help:"Address of the store that cache blocks are exported to."`
 	}
 
 	serviceCommand struct {
@@ -121,6 +122,7 @@
 		Name:               c.Name,
 		Model:              c.Model,
 		Weights:            c.Weights,
+		SoftwareVersion:    c.SoftwareVersion,
 		ChecksFencing:      c.ChecksFencing,
 		WeightStoreAddress: c.WeightStore,
 		EventLossRatio:     c.EventLoss,
--- a/internal/fpchat/chat.go
+++ b/internal/fpchat/chat.go
@@ -32,6 +32,8 @@
 	ReasonHeader = "X-Fescuepoint-Reason"
 	// WeightsHeader carries the weights version that a request was placed for.
 	WeightsHeader = "X-Weights"
+	// SoftwareHeader carries the software version of the engine process that answers.
+	SoftwareHeader = "X-Software-Version"
 	// ImportHeader asks an engine to import the prompt's blocks from the cache store first.
 	ImportHeader = "X-Import"
 	// EventStream is the content type of a streamed answer.
--- /dev/null
+++ b/internal/fpdispatch/build_test.go
@@ -0,0 +1,95 @@
+package fpdispatch
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpstandin"
+	"github.com/fescuepoint/fescuepoint/internal/fpstate"
+	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
+	"github.com/fescuepoint/fescuepoint/pkg/fproute"
+)
+
+// newBuildFixture returns a dispatcher with an engine for each of the software versions; the first is
+// preferred to the second, and so on.
+func newBuildFixture(t *testing.T, versions []string) *engineFixture {
+	t.Helper()
+	ef := newEngineFixture(t)
+	ef.engines, ef.addresses = nil, nil
+	ctx, cancel := context.WithCancel(context.Background())
+	ef.stops = append(ef.stops, cancel)
+	s := &fpstate.Snapshot{View: fproute.View{Zone: "z", Hosts: 1}}
+	for i, v := range versions {
+		name, address := fmt.Sprint("v", i), fmt.Sprintf("10.3.0.%d:80", i)
+		e := fpstandin.NewEngine(fpstandin.EngineSettings{Name: name, Model: "tutor", Weights: "1", SoftwareVersion: v})
+		go func() { _ = e.Run(ctx) }()
+		ef.stops = append(ef.stops, ef.network.Serve(address, e.Handler()))
+		ef.engines, ef.addresses = append(ef.engines, e), append(ef.addresses, address)
+		s.View.Replicas = append(s.View.Replicas, fproute.Replica{
+			Name: name, Address: address, Incarnation: 1, Zone: "z", Model: "tutor", Weights: "1", SoftwareVersion: v,
+			PrefillRate: 20_000, RoundTripSeconds: float64(i),
+		})
+	}
+	ef.state.Publish(s)
+	return ef
+}
+
+// TestStreamJoinedFromTwoBuilds breaks an answer off and checks that only an engine whose process has the
+// software version that began it goes on with it, and that it goes on where there is one.
+func TestStreamJoinedFromTwoBuilds(t *testing.T) {
+	crash := func(ef *engineFixture) { ef.engines[0].Crash() }
+	restart := func(i int, version string) func(*engineFixture) {
+		return func(ef *engineFixture) { ef.engines[i].SetSoftwareVersion(version) }
+	}
+	tests := map[string]struct {
+		versions []string
+		// before happens before the request, when placement has its reports; midway as text arrives.
+		before, midway func(*engineFixture)
+		want           fpoutcome.Kind
+		// begun is the version that begins the answer.
+		begun string
+		runs  []int
+	}{
+		"only another version is free":              {[]string{"1", "2"}, nil, crash, fpoutcome.Failed, "1", []int{1, 0}},
+		"only an engine without a version is free":  {[]string{"1", ""}, nil, crash, fpoutcome.Failed, "1", []int{1, 0}},
+		"begun without a version, only one is free": {[]string{"", "1"}, nil, crash, fpoutcome.Failed, "", []int{1, 0}},
+		"one of the same version is free":           {[]string{"1", "2", "1"}, nil, crash, fpoutcome.Complete, "1", []int{1, 0, 1}},
+		"no engine tells a version":                 {[]string{"", ""}, nil, crash, fpoutcome.Complete, "", []int{1, 1}},
+		"the other restarted since its report":      {[]string{"1", "1"}, restart(1, "2"), crash, fpoutcome.Failed, "1", []int{1, 1}},
+		"the other restarted, a third is free":      {[]string{"1", "1", "1"}, restart(1, "2"), crash, fpoutcome.Complete, "1", []int{1, 1, 1}},
+		"the first had restarted since its report":  {[]string{"1", "1", "2"}, restart(0, "2"), crash, fpoutcome.Complete, "2", []int{1, 0, 1}},
+		"the first restarts and keeps the attempt": {[]string{"1", "2"}, nil, func(ef *engineFixture) {
+			restart(0, "2")(ef)
+			ef.engines[0].SetFaults(fpstandin.Faults{CutAfterTokens: 1})
+		}, fpoutcome.Failed, "1", []int{1, 0}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				whole := newBuildFixture(t, []string{tt.begun})
+				want := &collector{}
+				whole.sendChat(context.Background(), want)
+				whole.close()
+				ef := newBuildFixture(t, tt.versions)
+				defer ef.close()
+				if tt.before != nil {
+					tt.before(ef)
+				}
+				got := &collector{onText: onceAtLength(400, func() { tt.midway(ef) })}
+				is.Equal(ef.sendChat(context.Background(), got).Outcome.Kind(), tt.want)
+				is.True(got.text.Len() >= 400)
+				is.True(strings.HasPrefix(want.text.String(), got.text.String()))
+				is.Equal(got.text.Len() == want.text.Len(), tt.want == fpoutcome.Complete)
+				for i, runs := range tt.runs {
+					is.Equal(ef.engines[i].Counts().Runs["r"], runs)
+				}
+			})
+		})
+	}
+}
--- a/internal/fpdispatch/chat.go
+++ b/internal/fpdispatch/chat.go
@@ -41,7 +41,7 @@
 		dispatchGate     func() error
 		assembler        fpstream.Assembler
 		deliveredText    strings.Builder
-		pinnedWeights    string
+		origin           origin
 		excludedReplicas []string
 		sinkBegun        bool
 		firstPieceSeen   bool
@@ -74,7 +74,7 @@
 		if part, remaining := r.dispatcher.quarantinedPart(r.parts); part != "" {
 			return r.newResult(r.refuseQuarantined(part, remaining))
 		}
-		t, err := r.dispatcher.placeChat(r.admitted, r.request, r.model, r.pinnedWeights, r.excludedReplicas)
+		t, err := r.dispatcher.placeChat(r.admitted, r.request, r.model, r.deliveredOrigin(), r.excludedReplicas)
 		if err != nil {
 			return r.newResult(r.refusePlacement(err, t))
 		}
@@ -103,7 +103,9 @@
 // finishOrRetry decides after a failed attempt whether another replica may be tried; it returns the
 // outcome and true if none may.
 func (r *chatRun) finishOrRetry(err error, attempts int) (fpoutcome.Outcome, bool) {
-	r.dispatcher.recordFailure(r.target)
+	if !errors.Is(err, errOtherSoftware) {
+		r.dispatcher.recordFailure(r.target)
+	}
 	if errors.Is(err, errUpstreamCrashed) {
 		r.crashes++
 		r.dispatcher.recordCrash(r.target.candidate.Replica, r.parts, r.sentAt)
@@ -122,7 +124,6 @@
 	kind := fprecord.Retried
 	if r.assembler.Delivered() > 0 {
 		kind = fprecord.Continued
-		r.pinnedWeights = r.target.request.Weights
 	}
 	r.dispatcher.addRecord(r.admitted, kind, r.target.candidate.Replica, err.Error(),
 		fprecord.Figure{Name: "delivered bytes", Value: float64(r.assembler.Delivered())})
@@ -197,8 +198,13 @@
 		!errors.IsAny(err, fpupstream.ErrAttemptUnknown, fpupstream.ErrNotRun, ErrCallerGone)
 }
 
-// deliverPieces delivers the pieces of one connection in order until the answer is complete.
+// deliverPieces delivers the pieces of one connection in order until the answer is complete. It gives
+// the attempt up if what was delivered came from another software version.
 func (r *chatRun) deliverPieces(s *fpupstream.Stream) error {
+	if err := r.checkOrigin(s); err != nil {
+		r.cancelAttempt()
+		return err
+	}
 	if !r.sinkBegun {
 		r.sinkBegun = true
 		r.sink.BeginAnswer(r.target.candidate.Replica, r.target.decision.Reason)
--- a/internal/fpdispatch/place.go
+++ b/internal/fpdispatch/place.go
@@ -51,12 +51,12 @@
 }
 
 // placeChat returns the target with the best score over all weights versions in service, or over
-// the pinned version only, when a part of the answer was generated with it.
-func (d *Dispatcher) placeChat(q AdmittedRequest, req fpchat.Request, m fpconfig.Model, pinnedWeights string, excluded []string) (target, error) {
+// the weights and the software version that generated a part of the answer.
+func (d *Dispatcher) placeChat(q AdmittedRequest, req fpchat.Request, m fpconfig.Model, begun origin, excluded []string) (target, error) {
 	s := d.state.Load()
 	adapter, _ := m.AdapterVersion(req.Adapter)
-	weights := []string{pinnedWeights}
-	if pinnedWeights == "" {
+	weights := []string{begun.weights}
+	if !begun.begun {
 		weights = weightsVersions(&s.View, m.Name)
 	}
 	best := target{candidate: fproute.Candidate{Score: math.Inf(1)}}
@@ -70,6 +70,8 @@
 			Model:            m.Name,
 			Weights:          w,
 			Prompt:           req.Prompt(t.seed),
+			Continued:        begun.begun,
+			SoftwareVersion:  begun.softwareVersion,
 			ExcludedReplicas: excluded,
 		}
 		decision, err := d.placeRequest(s, t.request)
@@ -86,6 +88,9 @@
 			placeErr = nil
 		}
 	}
+	if begun.begun && errors.Is(placeErr, fproute.ErrNoReplica) {
+		placeErr = errors.Wrapf(placeErr, "the answer began at software version %q", begun.softwareVersion)
+	}
 	return best, placeErr
 }
 
--- a/internal/fpdispatch/stream_test.go
+++ b/internal/fpdispatch/stream_test.go
@@ -260,7 +260,7 @@
 				}}})
 				m := fpconfig.Model{Name: "tutor", Adapters: []fpconfig.Adapter{{Name: "x", Version: "1"}}}
 				r.request.Adapter = adapter
-				target, err := d.placeChat(r.admitted, r.request, m, "", nil)
+				target, err := d.placeChat(r.admitted, r.request, m, origin{}, nil)
 				is.NoErr(err)
 				r.target = target
 				r.ledger = fpoutcome.NewLedger(true)
@@ -288,7 +288,7 @@
 		time.Sleep(time.Minute)
 		q := AdmittedRequest{Team: "t", RequestID: "later"}
 		req := fpchat.Request{Model: "tutor", Messages: []fpchat.Message{{Content: "why?"}}}
-		placed, err := ef.dispatcher.placeChat(q, req, fpconfig.Model{Name: "tutor", Weights: "1"}, "", nil)
+		placed, err := ef.dispatcher.placeChat(q, req, fpconfig.Model{Name: "tutor", Weights: "1"}, origin{}, nil)
 		is.NoErr(err)
 		for _, c := range placed.decision.Ranked {
 			is.Equal(c.QueueSeconds, 0.0)
--- a/internal/fphost/control.go
+++ b/internal/fphost/control.go
@@ -241,6 +241,7 @@
 		Zone:             d.AvailabilityZone,
 		Model:            d.Model,
 		Weights:          u.Report.Weights,
+		SoftwareVersion:  u.Report.SoftwareVersion,
 		Leaving:          u.Leaving || u.Report.Loading,
 		Down:             !u.Reachable,
 		PrefillRate:      max(u.Report.PrefillTokensPerSecond, 1),
--- a/internal/fphost/control_test.go
+++ b/internal/fphost/control_test.go
@@ -44,6 +44,16 @@
 	}}
 }
 
+// TestSoftwareVersionReachesPlacement checks that placement sees the software version of the last report.
+func TestSoftwareVersionReachesPlacement(t *testing.T) {
+	c, state := newControlState(t)
+	for _, v := range []string{"1", "2", ""} {
+		c.recordLoadReport("e", fpupstream.LoadReport{Incarnation: 1, Weights: "1", SoftwareVersion: v}, nil, time.Now())
+		c.publishSnapshot()
+		is.New(t).Equal(state.Load().View.Replicas[0].SoftwareVersion, v)
+	}
+}
+
 // TestLeavingUpstreamGetsNoNewWork checks that any single sign of an upstream's leaving is enough
 // for it to get no new work, and that a restart ends that.
 func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
--- a/internal/fpstandin/engine.go
+++ b/internal/fpstandin/engine.go
@@ -30,10 +30,12 @@
 type (
 	// EngineSettings configures an engine stand-in.
 	EngineSettings struct {
-		Name          string
-		Model         string
-		Weights       string
-		ChecksFencing bool
+		Name    string
+		Model   string
+		Weights string
+		// SoftwareVersion is what the engine tells in reports and answers; if empty, it tells none.
+		SoftwareVersion string
+		ChecksFencing   bool
 		// WeightStoreAddress is where weights are fetched from; if empty, weights load at once.
 		WeightStoreAddress string
 		Capacity           fpengine.Settings
@@ -57,6 +59,7 @@
 		attempts            map[string]*attempt
 		incarnation         uint64
 		weights             string
+		softwareVersion     string
 		loading             bool
 		leaving             bool
 		highestFencingToken int64
@@ -101,20 +104,35 @@
 // NewEngine returns an engine with an empty cache; it makes progress while Run runs.
 func NewEngine(s EngineSettings) *Engine {
 	return &Engine{
-		settings:    s,
-		engine:      fpengine.New(s.Capacity),
-		attempts:    make(map[string]*attempt),
-		incarnation: uint64(time.Now().UnixNano()),
-		weights:     s.Weights,
-		wake:        make(chan struct{}, 1),
-		cacheEvents: eventLog{lossRatio: s.EventLossRatio, lag: s.EventLag},
-		counts:      EngineCounts{Runs: make(map[string]int)},
+		settings:        s,
+		engine:          fpengine.New(s.Capacity),
+		attempts:        make(map[string]*attempt),
+		incarnation:     uint64(time.Now().UnixNano()),
+		weights:         s.Weights,
+		softwareVersion: s.SoftwareVersion,
+		wake:            make(chan struct{}, 1),
+		cacheEvents:     eventLog{lossRatio: s.EventLossRatio, lag: s.EventLag},
+		counts:          EngineCounts{Runs: make(map[string]int)},
 	}
 }
 
 // SetFaults sets the faults that the engine injects.
 func (e *Engine) SetFaults(f Faults) { e.faults.setFaults(f) }
 
+// SetSoftwareVersion changes the software version, as a restart in place with another build that takes
+// over the attempts does.
+func (e *Engine) SetSoftwareVersion(version string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.softwareVersion = version
+}
+
+func (e *Engine) currentSoftwareVersion() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.softwareVersion
+}
+
 // Crash drops all attempts and every cached block, as a crash and restart do.
 func (e *Engine) Crash() {
 	e.mu.Lock()
@@ -194,6 +212,7 @@
 		Incarnation:            e.incarnation,
 		Model:                  e.settings.Model,
 		Weights:                e.weights,
+		SoftwareVersion:        e.softwareVersion,
 		Loading:                e.loading,
 		Leaving:                e.leaving,
 		QueuedTokens:           l.QueuedTokens,
@@ -275,8 +294,8 @@
 	return a, http.StatusOK
 }
 
-// newAttempt returns the state of a new answer. Its text depends on the prompt and the weights
-// alone, without the part that an earlier attempt delivered, so that a continuation yields the same
+// newAttempt returns the state of a new answer. Its text depends on the prompt, the weights
+// and the software version alone, without the part that an earlier attempt delivered, so that a continuation yields the same
 // text.
 func (e *Engine) newAttempt(id string, req fpchat.Request, text string) *attempt {
 	a := &attempt{id: id, promptTokens: fpprefix.EstimateTokens(text), totalTokens: req.MaxTokens, changed: make(chan struct{})}
@@ -289,7 +308,7 @@
 		a.firstToken = min(len(delivered)/tokenTextBytes, a.totalTokens)
 		seedText = text[:len(text)-len(delivered)-1]
 	}
-	a.textSeed = xxhash.Sum64String(seedText + e.weights)
+	a.textSeed = xxhash.Sum64String(seedText + e.weights + e.softwareVersion)
 	a.availableTokens = a.firstToken
 	return a
 }
--- a/internal/fpstandin/stream.go
+++ b/internal/fpstandin/stream.go
@@ -39,6 +39,9 @@
 		id = "crossed-" + id
 	}
 	w.Header().Set(fpchat.AttemptHeader, id)
+	if version := e.currentSoftwareVersion(); version != "" {
+		w.Header().Set(fpchat.SoftwareHeader, version)
+	}
 	if !stream {
 		e.serveWholeAnswer(w, r, a, id, offset)
 		return
--- a/internal/fpupstream/stream.go
+++ b/internal/fpupstream/stream.go
@@ -24,6 +24,7 @@
 		silenceTimer   *time.Timer
 		silenceTimeout time.Duration
 		usage          fpchat.Usage
+		header         http.Header
 	}
 )
 
@@ -67,7 +68,7 @@
 		s.cancelRead()
 		return nil, err
 	}
-	s.body = res.Body
+	s.body, s.header = res.Body, res.Header
 	if err := statusError(res); err != nil {
 		s.Close()
 		return nil, err
@@ -107,6 +108,15 @@
 // Usage returns the token counts of the last piece that carried them.
 func (s *Stream) Usage() fpchat.Usage { return s.usage }
 
+// SoftwareVersion returns the software version that the answering process told, and whether it told one.
+func (s *Stream) SoftwareVersion() (string, bool) {
+	told := s.header.Values(fpchat.SoftwareHeader)
+	if len(told) == 0 {
+		return "", false
+	}
+	return told[0], true
+}
+
 // Close ends the stream and releases its connection.
 func (s *Stream) Close() {
 	s.cancelRead()
--- a/internal/fpupstream/types.go
+++ b/internal/fpupstream/types.go
@@ -23,12 +23,13 @@
 type (
 	// LoadReport is an upstream's load report; queued work is counted in tokens. QueuedNow
 	// is the part whose deadline has passed, QueuedSoon the part whose deadline has
-	// passed or is at most 3 s away.
+	// passed or is at most 3 s away. SoftwareVersion is the one that answers tell.
 	LoadReport struct {
 		Name                   string
 		Incarnation            uint64
 		Model                  string `json:",omitempty"`
 		Weights                string `json:",omitempty"`
+		SoftwareVersion        string `json:",omitempty"`
 		Loading                bool   `json:",omitempty"`
 		Leaving                bool   `json:",omitempty"`
 		QueuedTokens           int
--- a/pkg/fproute/plan.go
+++ b/pkg/fproute/plan.go
@@ -47,6 +47,7 @@
 		switch {
 		case p.Model != q.Model || p.Leaving || p.Down || slices.Contains(q.ExcludedReplicas, p.Name):
 		case q.Weights != "" && p.Weights != q.Weights:
+		case q.Continued && p.SoftwareVersion != q.SoftwareVersion:
 		case !r.allowsDispatch(p.Name, now):
 		case p.Zone == v.Zone:
 			local = append(local, i)
@@ -135,6 +136,7 @@
 		Replica:          p.Name,
 		Address:          p.Address,
 		Incarnation:      p.Incarnation,
+		SoftwareVersion:  p.SoftwareVersion,
 		QueueSeconds:     r.load.queueSeconds(p, q.Class, now),
 		HitTokens:        hit,
 		MissTokens:       float64(q.Prompt.Tokens) - hit,
--- a/pkg/fproute/route_test.go
+++ b/pkg/fproute/route_test.go
@@ -104,6 +104,25 @@
 				is.Equal(d.Ranked[0].Replica, "r0003")
 			},
 		},
+		"an answer goes on only at its software version": {
+			func(_ *Router, v *View, q *Request) {
+				v.Replicas[0].SoftwareVersion = "1"
+				v.Replicas[1].SoftwareVersion = "2"
+				q.Continued, q.SoftwareVersion = true, "2"
+			},
+			func(is *is.I, d Decision, err error, _ Decision) {
+				is.NoErr(err)
+				is.Equal(d.EligibleCount, 1)
+				is.Equal(d.Ranked[0].SoftwareVersion, "2")
+			},
+		},
+		"an answer that has not begun goes to any software version": {
+			func(_ *Router, v *View, _ *Request) { v.Replicas[0].SoftwareVersion = "1" },
+			func(is *is.I, d Decision, err error, _ Decision) {
+				is.NoErr(err)
+				is.Equal(d.EligibleCount, 4)
+			},
+		},
 		"no replica serves the model": {
 			func(_ *Router, _ *View, q *Request) { q.Model = "x" },
 			func(is *is.I, _ Decision, err error, _ Decision) { is.True(errors.Is(err, ErrNoReplica)) },
--- a/pkg/fproute/types.go
+++ b/pkg/fproute/types.go
@@ -50,6 +50,8 @@
 		Zone        string
 		Model       string
 		Weights     string
+		// SoftwareVersion is "" for a replica that tells none.
+		SoftwareVersion string
 		// Leaving is set for a replica that takes no new work: it is leaving or loads weights.
 		Leaving bool
 		// Down is set for a replica that can't be reached.
@@ -82,6 +84,10 @@
 		Model   string
 		Weights string
 		Prompt  fpprefix.Prompt
+		// Continued is set when a part of the answer was delivered; only replicas of SoftwareVersion,
+		// the one that generated it, may generate the rest.
+		Continued       bool
+		SoftwareVersion string
 		// ExcludedReplicas names the replicas that must not be chosen.
 		ExcludedReplicas []string
 	}
@@ -92,6 +98,7 @@
 		Replica          string
 		Address          string
 		Incarnation      uint64
+		SoftwareVersion  string
 		QueueSeconds     float64
 		HitTokens        float64
 		MissTokens       float64
