A host that forgot attempts takes no part in the proof that a request never ran

What callers saw: "not run" for a repeat of a call that ran minutes before, while the platform was out of reach. The caller may then send it again, and it runs twice.

Cause: a host keeps 10,000 ended attempts (KeptAnswers), fewer than a window of 15 minutes holds from 11 non-idempotent calls a second on. What had been evicted counted as never seen, here and in the answer to other hosts.

Evidence, TestNotRunSaidOfForgottenAttempt on the code before:

broker_test.go:94: true != false broker_test.go:94: true != false --- FAIL: .../forgotten_here --- FAIL: .../forgotten_by_a_peer

Change: a host that evicted, within the window, an attempt that may have been dispatched proves nothing and answers that it may have dispatched. Refusals of busy hosts in an outage of the platform become "unknown" instead of "not run".

Result: the five cases pass, ten times; TestAtMostOnce and TestGoodput pass.

--- a/internal/fpclaimant/answers.go
+++ b/internal/fpclaimant/answers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/fescuepoint/fescuepoint/pkg/fpclaim"
 	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
@@ -43,6 +44,7 @@
 		Ledger  *fpoutcome.Ledger
 		done    chan struct{}
 		result  Result
+		endedAt time.Time
 		sealed  bool
 	}
 
@@ -53,6 +55,8 @@
 		maxEnded int
 		entries  map[fpclaim.Key]*Entry
 		ended    []*Entry
+		// forgottenAt is the latest end of a dispatched attempt that was evicted.
+		forgottenAt time.Time
 	}
 )
 
@@ -90,7 +94,7 @@
 func (a *AttemptTable) EndAttempt(e *Entry, r Result) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	e.result = r
+	e.result, e.endedAt = r, time.Now()
 	close(e.done)
 	a.ended = append(a.ended, e)
 	for len(a.ended) > a.maxEnded {
@@ -98,6 +102,9 @@
 		a.ended = a.ended[1:]
 		if a.entries[oldest.Key] == oldest {
 			delete(a.entries, oldest.Key)
+			if oldest.state() != NeverDispatched {
+				a.forgottenAt = oldest.endedAt
+			}
 		}
 	}
 }
@@ -111,6 +118,14 @@
 	return ok && e.state() != NeverDispatched
 }
 
+// HasForgotten reports whether an attempt that may have been dispatched, and that ended at most d ago,
+// was evicted.
+func (a *AttemptTable) HasForgotten(d time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.forgottenAt.IsZero() && time.Since(a.forgottenAt) <= d
+}
+
 // Find returns the entry of an attempt, or nil.
 func (a *AttemptTable) Find(key fpclaim.Key, attempt string) *Entry {
 	a.mu.Lock()
--- a/internal/fpclaimant/broker.go
+++ b/internal/fpclaimant/broker.go
@@ -200,14 +200,14 @@
 	return m.Incarnation != 0 && time.Since(time.Unix(0, int64(m.Incarnation))) > b.window
 }
 
-// knowsWholeWindow reports whether this process has run for longer than the window. A host answers
-// this for itself, since others may not have heard of its restart yet.
+// knowsWholeWindow reports whether this process has run for longer than the window and still has all
+// attempts of it. A host answers this for itself, since others may not have heard of its restart yet.
 func (b *Broker) knowsWholeWindow() bool {
-	return !b.self.StartedAt.IsZero() && time.Since(b.self.StartedAt) > b.window
+	return !b.self.StartedAt.IsZero() && time.Since(b.self.StartedAt) > b.window && !b.attempts.HasForgotten(b.window)
 }
 
-// MayHaveDispatched reports whether this host, or an earlier process of it that this one knows nothing
-// of, may have dispatched a request within the window, or may still do so.
+// MayHaveDispatched reports whether this host may have dispatched a request within the window, or may
+// still do so; it may have if this process doesn't know the whole window.
 func (b *Broker) MayHaveDispatched(key fpclaim.Key) bool {
 	return !b.knowsWholeWindow() || b.attempts.MayHaveDispatched(key)
 }
--- a/internal/fpclaimant/broker_test.go
+++ b/internal/fpclaimant/broker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -51,3 +52,47 @@
 		})
 	}
 }
+
+// TestNotRunSaidOfForgottenAttempt checks that a host whose table is full doesn't take a request that it ran
+// and forgot for one that never ran, until the window has passed.
+func TestNotRunSaidOfForgottenAttempt(t *testing.T) {
+	const window = 15 * time.Minute
+	tests := map[string]struct {
+		end     func(*AttemptTable, *Entry)
+		later   time.Duration
+		atPeer  bool
+		hasNext bool
+		want    bool
+	}{
+		"forgotten here":                     {dispatchAndEnd, 0, false, true, false},
+		"forgotten by a peer":                {dispatchAndEnd, 0, true, true, false},
+		"forgotten longer ago than a window": {dispatchAndEnd, window + time.Second, false, true, true},
+		"kept by a peer":                     {dispatchAndEnd, 0, true, false, false},
+		"never dispatched, forgotten":        {endAndSeal, 0, false, true, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				long := time.Now().Add(-2 * window)
+				own, peers := NewAttemptTable(1), NewAttemptTable(1)
+				table := own
+				if tt.atPeer {
+					table = peers
+				}
+				key := fpclaim.NewKey("t", "r")
+				e, _ := table.BeginAttempt(key, 1, "first")
+				tt.end(table, e)
+				if tt.hasNext {
+					next, _ := table.BeginAttempt(fpclaim.NewKey("t", "next"), 1, "next")
+					endAndSeal(table, next)
+				}
+				time.Sleep(tt.later)
+				peer := Member{Name: "b", Address: "b", Incarnation: uint64(long.UnixNano()), StartedAt: long}
+				other := NewBroker(peer, window, nil, peers, nil, func() []Member { return nil }, nil)
+				self := Member{Name: "a", Incarnation: uint64(long.UnixNano()), StartedAt: long}
+				b := NewBroker(self, window, nil, own, brokerPeers{broker: other}, func() []Member { return []Member{peer} }, nil)
+				is.New(t).Equal(b.ProvenNeverDispatched(context.Background(), key), tt.want)
+			})
+		})
+	}
+}
