The host list's word that an upstream leaves stands while the list is out of reach

What callers saw: requests placed at an upstream that the host list had said to be leaving, from a minute after the list could no longer be read; they break when it ends.

Cause: the word lapsed a minute after this host had last heard it, whether a later list said otherwise or no list came at all.

Evidence, TestLeavingForgottenWithoutHostList on the code before:

control_test.go:124: false != true --- FAIL: .../list_out_of_reach

Change: what the last readable list says stands until the next one, or until the upstream reports a new incarnation. Once a later list no longer says so, the minute runs as before.

Result: the four cases pass, ten times.

--- a/internal/fphost/control.go
+++ b/internal/fphost/control.go
@@ -19,8 +19,8 @@
 	// unreachableAfterMisses is the number of consecutive missed load reports after which an
 	// upstream counts as unreachable and gets no new work.
 	unreachableAfterMisses = 2
-	// leavingReportTTL is how long a report by another host or the platform that an upstream is
-	// leaving stays valid.
+	// leavingReportTTL is how long a report by another host, or by the platform once a later host list
+	// no longer says so, that an upstream is leaving stays valid.
 	leavingReportTTL = time.Minute
 	// defaultRoundTrip is the assumed round trip time to zones that the settings don't name.
 	defaultRoundTrip = 60 * time.Millisecond
@@ -50,6 +50,8 @@
 		missedReports  int
 		hasReport      bool
 		reportsLeaving bool
+		// listedLeaving is whether the last host list that could be read said that it is leaving.
+		listedLeaving bool
 	}
 
 	// controlLoop runs tasks on the control goroutine.
@@ -129,7 +131,7 @@
 	}
 	if u.hasReport && u.report.Incarnation != l.Incarnation {
 		c.recordRestart(name)
-		u.reportsLeaving = false
+		u.reportsLeaving, u.listedLeaving = false, false
 		delete(c.leavingReportedAt, name)
 	}
 	u.report = l
@@ -142,9 +144,13 @@
 // applyHostList applies the platform's host list: it adds entry hosts to the members and notes
 // which upstreams are leaving.
 func (c *controlState) applyHostList(hosts []fpupstream.ListedHost, now time.Time) {
+	for _, u := range c.upstreams {
+		u.listedLeaving = false
+	}
 	for _, h := range hosts {
-		if _, ok := c.upstreams[h.Name]; ok {
+		if u, ok := c.upstreams[h.Name]; ok {
 			if h.Leaving {
+				u.listedLeaving = true
 				c.leavingReportedAt[h.Name] = now
 			}
 			continue
@@ -224,7 +230,7 @@
 		Upstream:  d,
 		Report:    u.report,
 		Reachable: u.hasReport && u.missedReports < unreachableAfterMisses,
-		Leaving:   d.Leaving || u.reportsLeaving || ok && now.Sub(leavingReportedAt) < leavingReportTTL,
+		Leaving:   d.Leaving || u.reportsLeaving || u.listedLeaving || ok && now.Sub(leavingReportedAt) < leavingReportTTL,
 	}
 }
 
--- a/internal/fphost/control_test.go
+++ b/internal/fphost/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -97,3 +98,31 @@
 		is.True(!state.Load().View.Replicas[0].Leaving)
 	})
 }
+
+// TestLeavingForgottenWithoutHostList checks that an upstream that the host list said to be leaving gets no
+// new work while the list can't be read, until a later list or its restart shows otherwise.
+func TestLeavingForgottenWithoutHostList(t *testing.T) {
+	leaving := []fpupstream.ListedHost{{Name: "e", Leaving: true}}
+	tests := map[string]struct {
+		then func(*controlState)
+		want bool
+	}{
+		"list out of reach":          {func(*controlState) {}, true},
+		"gone from the list":         {func(c *controlState) { c.applyHostList(nil, time.Now()) }, false},
+		"listed, no longer leaving":  {func(c *controlState) { c.applyHostList([]fpupstream.ListedHost{{Name: "e"}}, time.Now()) }, false},
+		"restarted after it was out": {func(c *controlState) { c.recordLoadReport("e", fpupstream.LoadReport{Incarnation: 2}, nil, time.Now()) }, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, state := newControlState(t)
+				c.applyHostList(leaving, time.Now())
+				time.Sleep(2 * time.Second)
+				tt.then(c)
+				time.Sleep(2 * leavingReportTTL)
+				c.publishSnapshot()
+				is.New(t).Equal(state.Load().View.Replicas[0].Leaving, tt.want)
+			})
+		})
+	}
+}
