Text that waits behind a gap is dropped when another software version answers

What callers saw: an answer of which one build of the engine wrote the beginning and another build a later part, delivered as complete. It takes an engine that sends pieces out of order, breaks off before the first one and is back with another build that still has the attempt.

Cause: nothing had been delivered, so the answer counted as not begun, but the assembler kept what the first process had sent behind the gap.

Evidence, TestTextOfFormerBuildBuffered on the code before:

build_test.go:132: all old != all new --- FAIL: TestTextOfFormerBuildBuffered

Change: a stream of another software version than the one before begins with an empty buffer.

Result: the test passes, ten times, with TestStreamJoinedFromTwoBuilds; the tests of the package pass.

--- a/internal/fpdispatch/build_test.go
+++ b/internal/fpdispatch/build_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
 
 	"github.com/matryer/is"
 
+	"github.com/fescuepoint/fescuepoint/internal/fpchat"
 	"github.com/fescuepoint/fescuepoint/internal/fpstandin"
 	"github.com/fescuepoint/fescuepoint/internal/fpstate"
 	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
@@ -93,3 +95,40 @@
 		})
 	}
 }
+
+// TestTextOfFormerBuildBuffered checks that text that one process sent behind a gap is not delivered after
+// what another software version sent for the gap.
+func TestTextOfFormerBuildBuffered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		ef := newEngineFixture(t)
+		defer ef.close()
+		begin := func(w http.ResponseWriter, id, version string) {
+			w.Header().Set(fpchat.AttemptHeader, id)
+			w.Header().Set(fpchat.SoftwareHeader, version)
+		}
+		m := http.NewServeMux()
+		m.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) {
+			id := r.Header.Get(fpchat.AttemptHeader)
+			begin(w, id, "1")
+			_ = fpchat.WriteEvent(w, fpchat.NewChunk(id, "tutor", 4, "old "))
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		m.HandleFunc("GET /v1/attempts/{id}", func(w http.ResponseWriter, r *http.Request) {
+			id := r.PathValue("id")
+			begin(w, id, "2")
+			_ = fpchat.WriteEvent(w, fpchat.NewChunk(id, "tutor", 0, "all "))
+			_ = fpchat.WriteEvent(w, fpchat.NewChunk(id, "tutor", 4, "new "))
+			_ = fpchat.WriteEvent(w, fpchat.NewFinalChunk(id, "tutor", 8, fpchat.Usage{}))
+			_ = fpchat.WriteDone(w)
+		})
+		ef.stops = append(ef.stops, ef.network.Serve("10.4.0.1:80", m))
+		ef.state.Publish(&fpstate.Snapshot{View: fproute.View{Zone: "z", Hosts: 1, Replicas: []fproute.Replica{
+			{Name: "v", Address: "10.4.0.1:80", Incarnation: 1, Zone: "z", Model: "tutor", Weights: "1", PrefillRate: 20_000},
+		}}})
+		got := &collector{}
+		is.Equal(ef.sendChat(context.Background(), got).Outcome.Kind(), fpoutcome.Complete)
+		is.Equal(got.text.String(), "all new ")
+	})
+}
--- a/internal/fpdispatch/origin.go
+++ b/internal/fpdispatch/origin.go
@@ -28,8 +28,9 @@
 	return r.origin
 }
 
-// checkOrigin reports errOtherSoftware unless the stream may go on with what was delivered. An answer that
-// tells no software version counts as that of its engine's last report.
+// checkOrigin reports errOtherSoftware unless the stream may go on with what was delivered; text of another
+// software version that waits behind a gap is dropped. An answer that tells no software version counts as
+// that of its engine's last report.
 func (r *chatRun) checkOrigin(s *fpupstream.Stream) error {
 	version, told := s.SoftwareVersion()
 	if !told {
@@ -39,6 +40,9 @@
 	if begun.begun && begun.softwareVersion != version {
 		return errors.Wrapf(errOtherSoftware, "%q, not %q", version, begun.softwareVersion)
 	}
+	if r.origin.softwareVersion != version {
+		r.assembler = r.assembler.WithAttempt(r.attemptID)
+	}
 	r.origin = origin{begun: true, weights: r.target.request.Weights, softwareVersion: version}
 	return nil
 }
