--- a/internal/fpdispatch/build_test.go
+++ b/internal/fpdispatch/build_test.go
@@ -7,12 +7,16 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpchat"
+	"github.com/fescuepoint/fescuepoint/internal/fpclaimant"
 	"github.com/fescuepoint/fescuepoint/internal/fpstandin"
 	"github.com/fescuepoint/fescuepoint/internal/fpstate"
+	"github.com/fescuepoint/fescuepoint/pkg/fpclaim"
+	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
 	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
 	"github.com/fescuepoint/fescuepoint/pkg/fproute"
 )
@@ -132,3 +136,43 @@
 		is.Equal(got.text.String(), "all new ")
 	})
 }
+
+// grantingBroker grants every claim.
+type grantingBroker struct{ ClaimBroker }
+
+// Claim grants the claim.
+func (grantingBroker) Claim(_ context.Context, c fpclaim.Claim) fpclaimant.ClaimResult {
+	return fpclaimant.ClaimResult{Verdict: fpclaim.Granted, Holder: c}
+}
+
+// TestOneRunJoinedFromTwoBuilds checks that a non-idempotent answer that is broken off goes on at its engine,
+// and is told as unknown once that engine has another software version.
+func TestOneRunJoinedFromTwoBuilds(t *testing.T) {
+	tests := map[string]struct {
+		version string
+		want    fpoutcome.Kind
+	}{
+		"same version":    {"1", fpoutcome.Complete},
+		"another version": {"2", fpoutcome.Unknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				ef := newBuildFixture(t, []string{"1", tt.version})
+				defer ef.close()
+				ef.dispatcher.broker = grantingBroker{}
+				got := &collector{onText: onceAtLength(400, func() {
+					ef.engines[0].SetSoftwareVersion(tt.version)
+					ef.engines[0].SetFaults(fpstandin.Faults{CutAfterTokens: 1})
+				})}
+				q := AdmittedRequest{Team: "t", RequestID: "r", ReceivedAt: time.Now(), Deadline: time.Now()}
+				req := fpchat.Request{Model: "tutor", MaxTokens: maxOutputTokens, Messages: []fpchat.Message{{Role: "user", Content: "why?"}}}
+				result, _ := ef.dispatcher.DispatchChatOnce(context.Background(), q, req, fpconfig.Model{Name: "tutor", Weights: "1"}, got)
+				is.Equal(result.Outcome.Kind(), tt.want)
+				is.Equal(ef.engines[0].Counts().Resumes, 1)
+				is.Equal(ef.engines[1].Counts().Requests, 0)
+			})
+		})
+	}
+}
