Gateway: a broken stream goes on with nothing but its own later events

Callers saw, where a resumable stream had broken off and the next replica answered with an error: the error's text behind the events that they had, followed by a clean end; after an empty answer a clean end alone; after a stream that began anew its first events twice.

Cause: an answer to a resumed attempt was relayed as if it were the first. relayBuffered wrote any status and body into the stream under way ("superfluous response.WriteHeader" in the log), relayStream any signed 200, whatever its type and the IDs of its events.

Change: after the header of a stream only an answer 200 of type text/event-stream goes on with it, and its events have to rise above the last one forwarded; the first has to have an ID. Otherwise the attempt counts as broken: another replica, or the connection is broken off. An answer without an event ends the stream only if a length or chunks mark its end. IDs that are no numbers are forwarded as before. fpconn.Response says whether the end of a body is marked.

--- a/internal/fpconn/exchange.go
+++ b/internal/fpconn/exchange.go
@@ -58,6 +58,9 @@
 		Body   io.Reader
 		// Length is the body's length, or -1 when there is no Content-Length.
 		Length int64
+		// EndMarked reports whether a length or chunks mark the body's end, rather than the end of the
+		// connection.
+		EndMarked bool
 		// NewConnection reports whether the connection was opened for this call, and ConnectTime is
 		// how long that took.
 		NewConnection bool
@@ -158,6 +161,7 @@
 			r.Status = res.StatusCode
 			r.Header = res.Header
 			r.Length = res.ContentLength
+			r.EndMarked = res.ContentLength >= 0 || len(res.TransferEncoding) > 0
 			r.Body = &bodyReader{response: r}
 			return nil
 		}
--- a/internal/fpgateway/relay.go
+++ b/internal/fpgateway/relay.go
@@ -47,6 +47,9 @@
 
 // relayBuffered reads an answer whole and forwards it.
 func (q *request) relayBuffered(ctx context.Context, c fpbalance.Choice, a *fpconn.Response, r Reply) attemptResult {
+	if q.stream.headerSent {
+		return q.handleForeignAnswer(ctx, c, errors.Wrapf(errNotResumed, "status %d", a.Status))
+	}
 	body, err := fpconn.ReadAll(a.Body, maxBufferedBytes, q.memory)
 	successful := a.Status >= 200 && a.Status < 300
 	if err == nil && successful && (r.Signature == "" || r.Encoded) {
@@ -119,8 +122,11 @@
 // another replica if the route allows it.
 func (q *request) relayStream(ctx context.Context, c fpbalance.Choice, a *fpconn.Response, r Reply, onFirstByte func()) attemptResult {
 	if r.Signature == "" || r.Encoded || r.ID != q.caller.ID {
-		q.gateway.recordFailure(c.Replica.ID)
-		return q.handleIncompleteAnswer(ctx, c, errForeignAnswer)
+		return q.handleForeignAnswer(ctx, c, errForeignAnswer)
+	}
+	part := continuation{resumed: q.stream.headerSent}
+	if part.resumed && !isStreamAnswer(a) {
+		return q.handleForeignAnswer(ctx, c, errors.Wrap(errNotResumed, "no stream"))
 	}
 	reader := bufio.NewReader(a.Body)
 	memory := q.gateway.answerMemory.NewReservation()
@@ -136,6 +142,9 @@
 			}
 			return q.handleIncompleteAnswer(ctx, c, err)
 		}
+		if !part.accept(&q.stream, event) {
+			return q.handleForeignAnswer(ctx, c, errNotResumed)
+		}
 		if !q.stream.headerSent {
 			q.setAnswerHeader(q.gateway.dialect.AnswerHeader(a.Header))
 			q.writer.WriteHeader(a.Status)
@@ -154,7 +163,7 @@
 		}
 		memory.Release()
 	}
-	if !q.stream.headerSent {
+	if part.endsEarly(a) {
 		return q.handleIncompleteAnswer(ctx, c, errors.Mark(errStreamTruncated, io.ErrUnexpectedEOF))
 	}
 	q.appendTrail("%s whole", c.Replica.ID)
@@ -162,6 +171,12 @@
 	return requestDone
 }
 
+// handleForeignAnswer handles an answer that is not the replica's own or not of this stream.
+func (q *request) handleForeignAnswer(ctx context.Context, c fpbalance.Choice, err error) attemptResult {
+	q.gateway.recordFailure(c.Replica.ID)
+	return q.handleIncompleteAnswer(ctx, c, err)
+}
+
 // writeEvent forwards an event without delay.
 func (q *request) writeEvent(event []byte) error {
 	if _, err := q.writer.Write(event); err != nil {
--- /dev/null
+++ b/internal/fpgateway/resume.go
@@ -0,0 +1,72 @@
+package fpgateway
+
+import (
+	"bytes"
+	"mime"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpconn"
+)
+
+const (
+	eventStreamType = "text/event-stream"
+)
+
+var (
+	dataField = []byte("data")
+	// errNotResumed means that an answer does not go on with the stream that another replica began.
+	errNotResumed = errors.New("the answer does not go on with the stream")
+)
+
+type (
+	// continuation checks that the events of one answer go on with a stream that the caller has a
+	// part of; the zero value is for an answer that begins a stream, and accepts any.
+	continuation struct {
+		resumed bool
+		events  int
+	}
+)
+
+// isStreamAnswer reports whether an answer may bring events of a stream that has begun.
+func isStreamAnswer(a *fpconn.Response) bool {
+	t, _, err := mime.ParseMediaType(a.Header.Get("Content-Type"))
+	return a.Status == http.StatusOK && err == nil && t == eventStreamType
+}
+
+// accept reports whether an event may follow the last one that was forwarded. The first one has to
+// show by its ID that it does, comments excepted; IDs that are not numbers have no order to check.
+func (c *continuation) accept(s *streamState, event []byte) bool {
+	id, hasID := eventID(event)
+	if c.resumed && !hasID && !hasData(event) {
+		return true
+	}
+	first := c.events == 0
+	c.events++
+	last, err := strconv.ParseUint(s.lastEventID, 10, 64)
+	if !c.resumed || err != nil {
+		return true
+	}
+	if !hasID {
+		return !first
+	}
+	n, err := strconv.ParseUint(id, 10, 64)
+	return err != nil || n > last
+}
+
+// endsEarly reports whether an answer that has ended leaves open whether its stream has: without an
+// event, only an answer that resumes a stream and marks its own end is whole.
+func (c *continuation) endsEarly(a *fpconn.Response) bool {
+	return c.events == 0 && (!c.resumed || !a.EndMarked)
+}
+
+func hasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, dataField) {
+			return true
+		}
+	}
+	return false
+}
