Gateway: a stream whose events have no IDs is not resumed

Callers saw the first events of such a stream twice, where it broke off on a resumable route.

Cause: without an ID the next replica was told to begin, or to go on where the caller had asked for, and the events already forwarded came again.

Evidence: TestResumesOnlyAfterKnownEvent on the code before: resume_test.go:90: data: token data: token != data: token --- FAIL: TestResumesOnlyAfterKnownEvent

Change: once events were forwarded, another replica is asked only if the last ID is known; otherwise the connection is broken off.

Measured: the test passes.

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -379,7 +379,7 @@
 	q.appendTrail("%s broken: %v", c.Replica.ID, err)
 	q.noteBrokenAttempt(c, err)
 	reason := "the replica gave no whole answer"
-	if ctx.Err() == nil && q.route.Repeatable() && q.runs < q.route.MaxAttempts {
+	if ctx.Err() == nil && q.route.Repeatable() && q.runs < q.route.MaxAttempts && q.stream.mayResume() {
 		if !q.gateway.suspectsAny(q.quarantineIDs) {
 			return tryAnotherReplica
 		}
--- a/internal/fpgateway/resume.go
+++ b/internal/fpgateway/resume.go
@@ -30,6 +30,9 @@
 	}
 )
 
+// mayResume reports whether another replica can be told where to go on.
+func (s *streamState) mayResume() bool { return !s.headerSent || s.lastEventID != "" }
+
 // isStreamAnswer reports whether an answer may bring events of a stream that has begun.
 func isStreamAnswer(a *fpconn.Response) bool {
 	t, _, err := mime.ParseMediaType(a.Header.Get("Content-Type"))
--- a/internal/fpgateway/resume_test.go
+++ b/internal/fpgateway/resume_test.go
@@ -77,3 +77,17 @@
 		})
 	}
 }
+
+// TestResumesOnlyAfterKnownEvent checks that a stream whose events have no IDs is not resumed, since
+// its first events would come twice.
+func TestResumesOnlyAfterKnownEvent(t *testing.T) {
+	is := is.New(t)
+	tc := newTestCluster(t)
+	for _, e := range tc.engines {
+		e.SetResumedAnswer("7", "HTTP/1.1 200 OK\r\n"+ownHeader+"Content-Type: text/event-stream\r\nContent-Length: 99\r\n\r\ndata: token\n\ndata: to")
+	}
+	r := tc.sendRequest("hint", func(q *http.Request) { q.Header.Set("Last-Event-Id", "7") })
+	is.Equal(r.body, "data: token\n\n")
+	is.True(r.err != nil)
+	is.Equal(len(tc.allRuns()), 1)
+}
