Gateway: test of a stream that goes on beyond its first replica's length

A stream that names a length and breaks off may be resumed to a longer one. It is not cut at the first length: the adapter drops the length of answers (hopByHopHeaders), and the relay of streams sets none. No fault was found.

Measured: TestResumedBeyondFirstLength passes on the code before.

--- a/internal/fpgateway/resume_test.go
+++ b/internal/fpgateway/resume_test.go
@@ -91,3 +91,19 @@
 	is.True(r.err != nil)
 	is.Equal(len(tc.allRuns()), 1)
 }
+
+// TestResumedBeyondFirstLength checks that a stream may go on for longer than the length that its
+// first replica named: it is not cut off there as if it were complete.
+func TestResumedBeyondFirstLength(t *testing.T) {
+	is := is.New(t)
+	tc := newTestCluster(t)
+	rest := wholeStream[len(brokenPart):]
+	header := "HTTP/1.1 200 OK\r\n" + ownHeader + "Content-Type: text/event-stream\r\n"
+	for _, e := range tc.engines {
+		e.SetResumedAnswer("0", fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", header, len(brokenPart+resumedEvent), brokenPart))
+		e.SetResumedAnswer("1", fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", header, len(rest), rest))
+	}
+	r := tc.sendRequest("hint", func(q *http.Request) { q.Header.Set("Last-Event-Id", "0") })
+	requireNoError(t, r)
+	is.Equal(r.body, wholeStream)
+}
