Gateway: a refusal written once more refuses no later request of the same ID

Callers that sent a request again with the same ID over the same host were told "not run" for a request that the replica was running, or it ran at a second replica too.

Cause: a replica refused the request, and wrote the same refusal once more when the request came again on the kept connection. The copy bears the right ID, so it was taken for proof.

Evidence: TestEarlierRefusalAgain on the code before: refusal_test.go:42: 2 != 1 (runs of one request) --- FAIL: TestEarlierRefusalAgain/of_the_same_ID refusal_test.go:43: 502 != 200 (unknown, though it might have been known) --- FAIL: TestEarlierRefusalAgain/of_the_same_ID,_without_one and with the two checks exchanged: refusal_test.go:42: 503 != 200. Copies of another request's refusal, with its ID, without one and before an answer to HEAD, did no harm: these cases passed before, as does TestStrayBytesWithoutBody (HEAD, 204, 304).

Measured: TestEarlierRefusalAgain, TestRefusedCallTakesAnotherConnection (fails without the check in acquireConn) and TestStrayBytesWithoutBody pass.

--- a/internal/fpconn/conn.go
+++ b/internal/fpconn/conn.go
@@ -33,6 +33,8 @@
 		connectTime        time.Duration
 		// readable is the number of bytes that may still be read from the connection.
 		readable int64
+		// refusedKeys are hashes of the keys of calls that were refused on the connection.
+		refusedKeys []uint64
 	}
 )
 
--- a/internal/fpconn/exchange.go
+++ b/internal/fpconn/exchange.go
@@ -49,6 +49,9 @@
 		MaxIdle time.Duration
 		// Accept reports whether a response with this header belongs to the call; nil accepts any.
 		Accept func(http.Header) bool
+		// Key identifies the request, so that MarkRefused can keep it from a connection; it is "" for
+		// calls that are never marked.
+		Key string
 	}
 
 	// Response is an upstream's response; the caller must close it.
@@ -68,6 +71,7 @@
 
 		pool          *Pool
 		conn          *conn
+		key           string
 		raw           *http.Response
 		writeResult   chan error
 		mismatched    bool
@@ -85,7 +89,7 @@
 // when no byte was sent, and ErrIncompleteResponse otherwise. When the context ends, the connection
 // is closed at once, so that the upstream stops its work.
 func (p *Pool) Do(ctx context.Context, call Call) (*Response, error) {
-	c, err := p.acquireConn(ctx, call.Address, call.MaxIdle)
+	c, err := p.acquireConn(ctx, call.Address, call.MaxIdle, call.Key)
 	if err != nil {
 		return nil, err
 	}
@@ -94,7 +98,7 @@
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	writtenBefore := c.bytesWritten.Load()
-	r := &Response{pool: p, conn: c, NewConnection: c.completedExchanges == 0}
+	r := &Response{pool: p, conn: c, key: call.Key, NewConnection: c.completedExchanges == 0}
 	if r.NewConnection {
 		r.ConnectTime = c.connectTime
 	}
@@ -203,7 +207,7 @@
 }
 
 func (r *Response) reusable() bool {
-	if !r.bodyComplete || r.mismatched || r.raw.Close || r.conn.reader.Buffered() > 0 {
+	if !r.bodyComplete || r.mismatched || r.raw.Close || r.conn.reader.Buffered() > 0 || len(r.conn.refusedKeys) >= maxRefusedKeys {
 		return false
 	}
 	if r.writeResult == nil {
--- a/internal/fpconn/pool.go
+++ b/internal/fpconn/pool.go
@@ -50,15 +50,16 @@
 	return &Pool{clock: clock, onOpen: onOpen, idle: make(map[string][]*conn)}
 }
 
-// acquireConn returns an idle connection that was last used less than maxIdle ago, or a new one.
-func (p *Pool) acquireConn(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
+// acquireConn returns an idle connection that was last used less than maxIdle ago and on which no call
+// with the key was refused, or a new one.
+func (p *Pool) acquireConn(ctx context.Context, address string, maxIdle time.Duration, key string) (*conn, error) {
 	now := p.clock()
 	for {
 		c := p.popIdle(address)
 		if c == nil {
 			return p.dial(ctx, address)
 		}
-		if now < c.expiresAt && now-c.lastUsed < maxIdle && c.isIdle() {
+		if now < c.expiresAt && now-c.lastUsed < maxIdle && !c.hasRefused(key) && c.isIdle() {
 			return c, nil
 		}
 		_ = c.Close()
--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -304,6 +304,7 @@
 		Header:  dialect.AttemptHeader(q.http.Header, a),
 		Body:    q.body,
 		MaxIdle: recent,
+		Key:     id,
 		Accept: func(h http.Header) bool {
 			got := dialect.DecodeReply(0, h).ID
 			return got == "" || got == id
@@ -329,6 +330,7 @@
 func (q *request) handleNotRun(c fpbalance.Choice, a *fpconn.Response, r Reply) attemptResult {
 	g := q.gateway
 	q.appendTrail("%s %d not run", c.Replica.ID, a.Status)
+	a.MarkRefused()
 	if err := a.Discard(maxNotRunBodyBytes, notRunBodyTimeout); err != nil {
 		q.appendTrail("%s body: %v", c.Replica.ID, err)
 		if errors.Is(err, fpconn.ErrResponseTooLong) {
