Gateway: a refusal without an ID after a stray answer is no proof

Callers were told "not run", or the request ran at a second replica too, though the replica ran it.

Cause: on a new connection a refusal without an ID counts as proof, since nothing was asked there before. It counted too where the replica had first written an answer to another request, which was skipped: then the refusal may be another request's as well.

Evidence: TestEarlierRefusalAgain on the code before: refusal_test.go:42: 2 != 1 (runs of one request) --- FAIL: TestEarlierRefusalAgain/after_a_stray_answer

Change: such a refusal counts only as the first answer on its connection (fpconn.Response.FirstOnConnection).

Measured: the test passes with the new case.

--- a/internal/fpconn/exchange.go
+++ b/internal/fpconn/exchange.go
@@ -68,6 +68,8 @@
 		// how long that took.
 		NewConnection bool
 		ConnectTime   time.Duration
+		// FirstOnConnection reports whether no other response came before on the connection.
+		FirstOnConnection bool
 
 		pool          *Pool
 		conn          *conn
@@ -167,6 +169,7 @@
 			r.Length = res.ContentLength
 			r.EndMarked = res.ContentLength >= 0 || len(res.TransferEncoding) > 0
 			r.Body = &bodyReader{response: r}
+			r.FirstOnConnection = r.NewConnection && !r.mismatched
 			return nil
 		}
 		r.mismatched = true
--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -251,8 +251,8 @@
 	q.sends++
 	reply := g.dialect.DecodeReply(a.Status, a.Header)
 	q.recordReply(c, reply, sentAt)
-	// On a kept connection, a rejection without an ID may be a late one of the request before.
-	if reply.NotRun && (reply.ID == q.caller.ID || a.NewConnection) {
+	// After another answer, a rejection without an ID may be a late one of the request before.
+	if reply.NotRun && (reply.ID == q.caller.ID || a.FirstOnConnection) {
 		return q.handleNotRun(c, a, reply)
 	}
 	q.runs++
--- a/internal/fpgateway/refusal_test.go
+++ b/internal/fpgateway/refusal_test.go
@@ -25,6 +25,7 @@
 		"without an ID":                         {first: fpfake.RejectWithoutID, second: fpfake.RepeatRefusal, status: 502},
 		"of the same ID":                        {first: fpfake.Reject, second: fpfake.RepeatRefusal, sameID: true, status: 200},
 		"of the same ID, without one":           {first: fpfake.RejectWithoutID, second: fpfake.RepeatRefusal, sameID: true, status: 200},
+		"after a stray answer":                  {first: fpfake.ResetBeforeRun, second: fpfake.StrayRefusal, status: 502},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
