Own interface: an earlier refusal once more starts no second engine

Callers saw nothing but a later answer: an idempotent chat whose engine wrote an earlier refusal once more ran there, and at a second engine too, at no cost to the retry budget, and its first run was not ended.

Cause: openStream believed a status 503 or 409 before it looked at the attempt's ID, also on kept connections of the shared pool. Requests that must run at most once have connections of their own, and NotRun is said only if no byte was sent, so that no false "not run" and no second run of theirs follows; plain services and polls check the ID first.

Evidence: TestEarlierRefusalAgain (fpdispatch) on the code before: refusal_test.go:25: 1 != 0 (requests at the second engine) --- FAIL: TestEarlierRefusalAgain and TestRefusalOfAnotherAttempt: 6 of 12 fail (without an ID on a kept connection, another attempt's ID). TestServiceRefusalOnceMore passed before.

Change: a refusal counts if it echoes the attempt's ID, or has none on a new connection; otherwise the engine is asked for the attempt, as after any answer of another one. The stand-in engine echoes the ID in its refusals.

Measured: the three tests pass, with TestStreamRecovery and TestAtMostOnce.

--- a/internal/fpstandin/engine.go
+++ b/internal/fpstandin/engine.go
@@ -256,6 +256,7 @@
 	id := r.Header.Get(fpchat.AttemptHeader)
 	a, status := e.admitAttempt(id, r.Header.Get(fpchat.RequestHeader), r.Header.Get(fpchat.WeightsHeader), req)
 	if status != http.StatusOK {
+		w.Header().Set(fpchat.AttemptHeader, id)
 		http.Error(w, "not run", status)
 		return
 	}
--- a/internal/fpstandin/fault.go
+++ b/internal/fpstandin/fault.go
@@ -23,6 +23,9 @@
 		LoseAnswers int
 		// CrossAnswers is the number of further answers that carry another attempt's ID.
 		CrossAnswers int
+		// RepeatRefusals is the number of further calls that take effect and are answered by a refusal
+		// without an attempt's ID, as one of an earlier call that is written once more.
+		RepeatRefusals int
 		// CutAfterTokens aborts the next stream that has sent this many tokens; zero disables it.
 		CutAfterTokens int
 		// SilentAfterTokens makes the next stream that has sent this many tokens stop sending,
@@ -100,6 +103,10 @@
 			next.ServeHTTP(&discardingWriter{header: make(http.Header)}, r)
 			panic(http.ErrAbortHandler)
 		}
+		if f.consumeFault(func(f *Faults) *int { return &f.RepeatRefusals }) {
+			repeatRefusal(w, r, next)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/fpupstream/client.go
+++ b/internal/fpupstream/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -129,6 +130,8 @@
 		}
 		client = singleUseClient(conn)
 	}
+	var reused atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused.Store(i.Reused) }})
 	req, err := a.newRequest(ctx)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotRun)
@@ -137,9 +140,23 @@
 	if err != nil {
 		return nil, classifyError(ctx, err)
 	}
+	if err := checkRefusal(res, a.ID, reused.Load()); err != nil {
+		_ = res.Body.Close()
+		return nil, err
+	}
 	return res, nil
 }
 
+// checkRefusal returns ErrMismatched for a refusal that may be another attempt's: without an ID it
+// counts only on a new connection, where no earlier one can be written once more.
+func checkRefusal(res *http.Response, attemptID string, reused bool) error {
+	got := res.Header.Get(fpchat.AttemptHeader)
+	if !errors.Is(statusError(res), ErrNotRun) || got == attemptID || got == "" && !reused {
+		return nil
+	}
+	return errors.Wrapf(ErrMismatched, "status %d of %q", res.StatusCode, got)
+}
+
 func (a Attempt) newRequest(ctx context.Context) (*http.Request, error) {
 	if a.OnConnected != nil {
 		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { a.OnConnected() }})
