Own interface: tests of errors inside a stream

Operators of similar systems saw the next replica's error inside a stream that had broken off, or the stream end as complete. At the own interface this was looked for and not found: a resumed part has to bear the attempt's ID and consist of chunks that ChunkReader can read, fpstream.Assembler forwards text by its offset alone, and an answer is complete only with its stated total. A failure that is left comes to the caller as an event without text and without the end mark.

--- a/internal/fpdispatch/stream_test.go
+++ b/internal/fpdispatch/stream_test.go
@@ -146,6 +146,18 @@
 	}{
 		"uninterrupted":         {func(*engineFixture, *collector) {}, 0},
 		"connection cut midway": {func(ef *engineFixture, _ *collector) { ef.engines[0].SetFaults(fpstandin.Faults{CutAfterTokens: 50}) }, 1},
+		"connection cut, then an error": {func(ef *engineFixture, _ *collector) {
+			ef.engines[0].SetFaults(fpstandin.Faults{CutAfterTokens: 50, FailedResumes: 1})
+		}, 2},
+		"connection cut, then errors alone": {func(ef *engineFixture, _ *collector) {
+			ef.engines[0].SetFaults(fpstandin.Faults{CutAfterTokens: 50, FailedResumes: 100})
+		}, 2},
+		"connection cut, then a page": {func(ef *engineFixture, _ *collector) {
+			ef.engines[0].SetFaults(fpstandin.Faults{CutAfterTokens: 50, ResumePages: 1})
+		}, 2},
+		"connection cut, then pages alone": {func(ef *engineFixture, _ *collector) {
+			ef.engines[0].SetFaults(fpstandin.Faults{CutAfterTokens: 50, ResumePages: 100})
+		}, 2},
 		"connection silent midway": {func(ef *engineFixture, _ *collector) {
 			ef.engines[0].SetFaults(fpstandin.Faults{SilentAfterTokens: 50})
 		}, 1},
--- a/internal/fpstandin/engine.go
+++ b/internal/fpstandin/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -402,6 +403,16 @@
 		http.Error(w, "no such attempt", http.StatusNotFound)
 		return
 	}
+	if e.faults.consumeFault(func(f *Faults) *int { return &f.FailedResumes }) {
+		w.Header().Set(fpchat.AttemptHeader, a.id)
+		http.Error(w, "failed\n", http.StatusInternalServerError)
+		return
+	}
+	if e.faults.consumeFault(func(f *Faults) *int { return &f.ResumePages }) {
+		w.Header().Set(fpchat.AttemptHeader, a.id)
+		_, _ = io.WriteString(w, "<p>failed</p>\n\ndata: <p>failed</p>\n\n")
+		return
+	}
 	e.serveAnswer(w, r, a, true, offset)
 }
 
--- a/internal/fpstandin/fault.go
+++ b/internal/fpstandin/fault.go
@@ -26,6 +26,10 @@
 		// RepeatRefusals is the number of further calls that take effect and are answered by a refusal
 		// without an attempt's ID, as one of an earlier call that is written once more.
 		RepeatRefusals int
+		// FailedResumes is the number of further resumed connections that are answered by an error, and
+		// ResumePages the number of those that are answered by a page in place of the stream.
+		FailedResumes int
+		ResumePages   int
 		// CutAfterTokens aborts the next stream that has sent this many tokens; zero disables it.
 		CutAfterTokens int
 		// SilentAfterTokens makes the next stream that has sent this many tokens stop sending,
