Gateway: text that is no event does not go into a resumed stream

Callers could see a line of text inside their stream, where the next replica sent it as a part of a signed stream before the later events.

Cause: in a resumed part a block without ID and data passed as a comment.

Change: only lines that begin with a colon are comments.

Measured: TestErrorInsideStream passes, 26 answers, three times.

--- a/internal/fpgateway/resume.go
+++ b/internal/fpgateway/resume.go
@@ -15,11 +15,8 @@
 	eventStreamType = "text/event-stream"
 )
 
-var (
-	dataField = []byte("data")
-	// errNotResumed means that an answer does not go on with the stream that another replica began.
-	errNotResumed = errors.New("the answer does not go on with the stream")
-)
+// errNotResumed means that an answer does not go on with the stream that another replica began.
+var errNotResumed = errors.New("the answer does not go on with the stream")
 
 type (
 	// continuation checks that the events of one answer go on with a stream that the caller has a
@@ -42,8 +39,7 @@
 // accept reports whether an event may follow the last one that was forwarded. The first one has to
 // show by its ID that it does, comments excepted; IDs that are not numbers have no order to check.
 func (c *continuation) accept(s *streamState, event []byte) bool {
-	id, hasID := eventID(event)
-	if c.resumed && !hasID && !hasData(event) {
+	if c.resumed && isComment(event) {
 		return true
 	}
 	first := c.events == 0
@@ -52,7 +48,8 @@
 	if !c.resumed || err != nil {
 		return true
 	}
-	if !hasID {
+	id, ok := eventID(event)
+	if !ok {
 		return !first
 	}
 	n, err := strconv.ParseUint(id, 10, 64)
@@ -65,11 +62,12 @@
 	return c.events == 0 && (!c.resumed || !a.EndMarked)
 }
 
-func hasData(event []byte) bool {
+// isComment reports whether an event has nothing but comments.
+func isComment(event []byte) bool {
 	for line := range bytes.Lines(event) {
-		if bytes.HasPrefix(line, dataField) {
-			return true
+		if text := bytes.TrimRight(line, "\r\n"); len(text) > 0 && text[0] != ':' {
+			return false
 		}
 	}
-	return false
+	return true
 }
--- a/internal/fpgateway/resume_test.go
+++ b/internal/fpgateway/resume_test.go
@@ -47,6 +47,8 @@
 		"no receipt":                  {answer: fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n%sContent-Length: %d\r\n\r\n%s", events, len(resumedEvent), resumedEvent)},
 		"another request's stream":    {answer: fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nReplica-Signature: sig.x\r\n%sContent-Length: %d\r\n\r\n%s", events, len(resumedEvent), resumedEvent)},
 		"error event":                 {answer: resumedAnswer("200 OK", events, "event: error\ndata: failed\n\n")},
+		"text as a stream":            {answer: resumedAnswer("200 OK", events, "failed\n\n"+resumedEvent)},
+		"text after a comment":        {answer: resumedAnswer("200 OK", events, ": here\nfailed\n\n"+resumedEvent)},
 		"stream from its start":       {answer: resumedAnswer("200 OK", events, wholeStream)},
 		"last event again":            {answer: resumedAnswer("200 OK", events, brokenPart+resumedEvent)},
 		"events going back":           {answer: resumedAnswer("200 OK", events, resumedEvent+brokenPart), body: brokenPart + resumedEvent},
