Test: streams joined from two software versions

Callers that take a stream up, or whose replica broke off in the middle of an answer, got the rest from a replica of another software version of the service. The take-up with one version only passes and guards the streams that may go on.

--- /dev/null
+++ b/internal/fpgateway/build_test.go
@@ -0,0 +1,256 @@
+package fpgateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
+	"github.com/fescuepoint/fescuepoint/internal/fpgateway"
+	"github.com/fescuepoint/fescuepoint/platform/fpfake"
+)
+
+const (
+	takenUpStreams = 12
+	// takeUpTries is how often a client tries to take a stream up, takeUpPause apart.
+	takeUpTries = 10
+	takeUpPause = 50 * time.Millisecond
+	oldBuildKey = "fescuepoint/builds/llm/v1"
+)
+
+type (
+	// buildTest is a cluster whose engines run one or two versions of their software.
+	buildTest struct {
+		*testCluster
+		other *testCluster
+		// takenUpAt is the host at which the clients take their streams up.
+		takenUpAt *testCluster
+		requests  int
+	}
+
+	// brokenStream is a stream whose client lost it after the first event.
+	brokenStream struct {
+		id   string
+		text string
+	}
+)
+
+// newBuildTest starts four engines, those with odd numbers at version v1 and the others at the given one,
+// and two hosts.
+func newBuildTest(t *testing.T, second string) *buildTest {
+	b := &buildTest{testCluster: prepareTestCluster(t)}
+	for _, id := range []string{"e3", "e4"} {
+		e := fpfake.NewReplica(id, "llm", "z1", "m")
+		t.Cleanup(e.Close)
+		b.engines = append(b.engines, e)
+	}
+	for i, e := range b.engines {
+		e.Software, e.StreamEvents = "v1", 5
+		if i%2 == 1 {
+			e.Software = second
+		}
+		e.SetEventDelay(10 * time.Millisecond)
+		b.store.Put("servers/"+e.ID, e.Registration("ready"))
+	}
+	b.store.Put("op/config", configDocument(1))
+	b.other, _ = b.addHost(func(*fpgateway.Settings) {})
+	b.takenUpAt = b.testCluster
+	b.waitFor(func() bool {
+		return strings.Contains(b.logs.String()+b.other.logs.String(), "order lease acquired")
+	}, "the order lease")
+	return b
+}
+
+// awaitStored waits until the version of old is in the store, if hosts keep it there.
+func (b *buildTest) awaitStored() {
+	for range 200 {
+		if _, ok := b.store.GetString(oldBuildKey); ok {
+			return
+		}
+		fpclock.Sleep(context.Background(), 10*time.Millisecond)
+	}
+}
+
+// restartHosts ends all hosts and then starts them again.
+func (b *buildTest) restartHosts() {
+	for _, o := range []*testCluster{b.testCluster, b.other} {
+		o.cancel()
+	}
+	for _, o := range []*testCluster{b.testCluster, b.other} {
+		o.runResult <- <-o.runResult
+	}
+	for _, o := range []*testCluster{b.testCluster, b.other} {
+		o.startHost()
+	}
+	for _, o := range []*testCluster{b.testCluster, b.other} {
+		b.waitFor(o.isReady, "ready again")
+	}
+}
+
+// removeEngines ends the engines of a version.
+func (b *buildTest) removeEngines(software string) {
+	for _, e := range b.engines {
+		if e.Software == software {
+			b.store.Delete("servers/" + e.ID)
+			e.Close()
+		}
+	}
+	b.waitFor(func() bool { return strings.Contains(b.linesWith("replica entry deleted"), `"Replica":"e3"`) }, "the engines are gone")
+}
+
+// call sends a request for a stream. Each has a prompt of its own, so that they spread over the engines.
+func (b *buildTest) call(o *testCluster, header map[string]string) (*http.Response, string) {
+	b.t.Helper()
+	b.requests++
+	id := fmt.Sprint("stream-", b.requests)
+	req, err := http.NewRequest(http.MethodPost, "http://"+o.hostSettings.CallersAddress+"/hint/x", strings.NewReader("body"))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	req.Host = "a.example"
+	prompt := fmt.Sprintf("a%d:1200,b%d:300", b.requests, b.requests)
+	for k, v := range map[string]string{
+		"Attempt-Id": id, "Authorization": "Token key", "Deadline-Ms": "2000", "Model": "m", "Token-Usage": "1500,20", "Prompt-Prefix": prompt,
+	} {
+		req.Header.Set(k, v)
+	}
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	c := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := c.Do(req)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return res, id
+}
+
+// beginStreams begins streams at the first host, each of which breaks at its client after the first event.
+func (b *buildTest) beginStreams() []brokenStream {
+	var out []brokenStream
+	for range takenUpStreams {
+		res, id := b.call(b.testCluster, nil)
+		s := brokenStream{id: id}
+		reader := bufio.NewReader(res.Body)
+		for !strings.HasSuffix(s.text, "\n\n") {
+			line, err := reader.ReadString('\n')
+			if err != nil {
+				b.t.Fatal(err)
+			}
+			s.text += line
+		}
+		_ = res.Body.Close()
+		out = append(out, s)
+	}
+	return out
+}
+
+// takeUp takes a stream up and returns its whole text, and the status of the last try.
+func (b *buildTest) takeUp(s brokenStream, resumes string) (string, int) {
+	status := 0
+	for range takeUpTries {
+		res, _ := b.call(b.takenUpAt, map[string]string{"Last-Event-Id": "1", "Resumes": resumes})
+		body, err := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		if status = res.StatusCode; status == http.StatusOK && err == nil {
+			return s.text + string(body), status
+		}
+		fpclock.Sleep(context.Background(), takeUpPause)
+	}
+	return s.text, status
+}
+
+func joined(text string) bool {
+	return strings.Contains(text, "by v1") && strings.Contains(text, "by v2")
+}
+
+// TestStreamJoinedFromTwoBuilds lets clients take up broken streams while replicas of two software versions
+// serve, or have just done so. No text may hold events of both; those go on whose version still serves and
+// can be known.
+func TestStreamJoinedFromTwoBuilds(t *testing.T) {
+	const all, none, someRefused = "all go on", "none goes on", "those of the old version are refused"
+	tests := map[string]struct {
+		second  string
+		between func(*buildTest)
+		resumes string
+		want    string
+	}{
+		"at the same host":      {second: "v2", want: all},
+		"at a second host":      {second: "v2", between: func(b *buildTest) { b.takenUpAt = b.other }, want: all},
+		"unknown first attempt": {second: "v2", resumes: "never seen", want: none},
+		"the old version left":  {second: "v2", between: func(b *buildTest) { b.removeEngines("v1") }, want: someRefused},
+		"all hosts restarted":   {second: "v2", between: (*buildTest).restartHosts, want: none},
+		"all hosts restarted after the old version left": {
+			second: "v2", want: none,
+			between: func(b *buildTest) {
+				b.awaitStored()
+				b.removeEngines("v1")
+				b.restartHosts()
+			},
+		},
+		"all hosts restarted with one version": {second: "v1", between: (*buildTest).restartHosts, want: all},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBuildTest(t, tt.second)
+			streams := b.beginStreams()
+			if tt.between != nil {
+				tt.between(b)
+			}
+			joinedCount, wentOn, wanted := 0, 0, 0
+			for _, s := range streams {
+				resumes := s.id
+				if tt.resumes != "" {
+					resumes = tt.resumes
+				}
+				text, status := b.takeUp(s, resumes)
+				if joined(text) {
+					joinedCount++
+				}
+				if tt.want == all || tt.want == someRefused && strings.Contains(s.text, "by v2") {
+					wanted++
+				}
+				if status == http.StatusOK {
+					wentOn++
+				} else {
+					is.Equal(status, http.StatusServiceUnavailable)
+				}
+			}
+			t.Logf("of %d streams %d went on, %d were joined", len(streams), wentOn, joinedCount)
+			is.Equal(joinedCount, 0)
+			is.Equal(wentOn, wanted)
+		})
+	}
+}
+
+// TestAnswerJoinedFromTwoBuilds breaks a stream in the middle while the only replica left is of another
+// software version. The answer must break off, not go on there.
+func TestAnswerJoinedFromTwoBuilds(t *testing.T) {
+	is := is.New(t)
+	tc := prepareTestCluster(t)
+	for i, e := range tc.engines {
+		e.Software = fmt.Sprint("v", i+1)
+		tc.store.Put("servers/"+e.ID, e.Registration("ready"))
+	}
+	tc.store.Put("op/config", configDocument(1))
+	tc.startHost()
+	tc.waitFor(tc.isReady, "ready")
+	tc.queueBehaviours(fpfake.Truncate)
+	r := tc.sendRequest("hint", nil)
+	is.True(!joined(r.body))
+	is.True(strings.Contains(r.body, "token 1"))
+	is.True(r.err != nil) // broken off
+	ran := 0
+	for _, e := range tc.engines {
+		ran += len(e.ExecutedRequests())
+	}
+	is.Equal(ran, 1)
+}
