A stream goes on only at the software version that began it

Callers' streams were joined from replicas of two software versions: the version in a replica's entry was dropped, and both a caller that took a stream up and a host that went on after a replica broke off in the middle used any replica.

The version is decoded now; a host remembers for each stream at which one it began (fporigin), by the ID of the request that brought its first event, before it forwards that event. A take-up goes to replicas of that version only. It is refused at once where the version is not known, unless the service has had a single one of late by a recent proof, and where no replica of it is left. A take-up goes to the service that a traffic split gave the stream's first request.

--- a/internal/fpgateway/dialect.go
+++ b/internal/fpgateway/dialect.go
@@ -67,6 +67,8 @@
 		OutputTokens int
 		// LastEventID is the ID of the event after which a stream resumes.
 		LastEventID string
+		// Resumes is the ID of the request that brought the first event of the stream, "" if none is named.
+		Resumes string
 	}
 
 	// Attempt is the data that an attempt's header adds for the replica.
--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -64,7 +64,7 @@
 	g := q.gateway
 	for {
 		q.snapshot = g.snapshot.Load()
-		if !q.maySend() {
+		if !q.maySend() || !q.settleBuild() {
 			return
 		}
 		if q.sends >= maxSends || len(q.triedReplicas) >= maxReplicasTried || q.runs >= q.route.MaxAttempts {
@@ -121,7 +121,7 @@
 	g := q.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c, err := g.balancer.Choose(q.snapshot.replicasByService[q.service.Name], q.balancerRequest(), q.cacheLink(), g.clock())
+	c, err := g.balancer.Choose(q.candidates(), q.balancerRequest(), q.cacheLink(), g.clock())
 	if err != nil {
 		return c, err
 	}
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpstore"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
 	"github.com/fescuepoint/fescuepoint/pkg/fplimit"
+	"github.com/fescuepoint/fescuepoint/pkg/fporigin"
 )
 
 const (
@@ -87,6 +88,8 @@
 		// brokenReplicas holds the replicas that broke off answers, by ID.
 		brokenReplicas map[string]*brokenReplica
 		quarantine     *quarantine
+		// origins holds at which software version each stream began.
+		origins *fporigin.Table
 		// limitsAnnouncedAt holds when a replica's limit was last told to all hosts.
 		limitsAnnouncedAt map[string]time.Duration
 	}
@@ -113,6 +116,7 @@
 
 		brokenReplicas: make(map[string]*brokenReplica),
 		quarantine:     newQuarantine(),
+		origins:        fporigin.NewTable(maxOrigins, originRetention(nil)),
 
 		limitsAnnouncedAt: make(map[string]time.Duration),
 	}
--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -68,6 +68,9 @@
 		// sentAt is when the last attempt was sent.
 		sentAt time.Duration
 		stream streamState
+		// build is the software version at which the stream goes on, once buildKnown.
+		build      string
+		buildKnown bool
 		// fallback is a replica's own error answer, used if no other answer follows.
 		fallback *bufferedAnswer
 		// broken says that a replica broke off an attempt.
@@ -136,7 +139,7 @@
 	if d := q.checkKey(configFresh); d != nil {
 		return d
 	}
-	name := q.route.PickService(q.caller.ID)
+	name := q.route.PickService(q.streamID())
 	if q.service = c.Service(name); q.service == nil {
 		return &rejection{status: http.StatusServiceUnavailable, reason: "the route's service is not configured", retryAfter: staleConfigRetryAfter}
 	}
@@ -326,6 +329,9 @@
 		"Rank", q.choice.Rank, "Source", q.choice.SourceAddress, "Hit", q.choice.HitTokens, "Copied", q.choice.CopiedTokens, "Miss", q.choice.MissTokens,
 		"TokensPerSecond", int(q.choice.TokensPerSecond), "DrainTokensPerSecond", int(q.choice.DrainTokensPerSecond), "FixedSeconds", roundSeconds(q.choice.FixedSeconds), "RoundTripSeconds", roundSeconds(q.choice.RoundTripSeconds), "Trail", fmt.Sprint(q.trail),
 	}
+	if q.buildKnown || q.isTakeUp() {
+		fields = append(fields, "Build", q.choice.Replica.Build, "Resumes", q.caller.Resumes)
+	}
 	if q.broken {
 		fields = append(fields, "Parts", fmt.Sprint(q.sharedParts), "Fingerprint", q.fingerprint)
 	}
--- a/internal/fpgateway/relay.go
+++ b/internal/fpgateway/relay.go
@@ -131,6 +131,7 @@
 	reader := bufio.NewReader(a.Body)
 	memory := q.gateway.answerMemory.NewReservation()
 	defer memory.Release()
+	defer q.keepOrigin()
 	for {
 		event, err := readEvent(reader, memory)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
@@ -146,6 +147,7 @@
 			return q.handleForeignAnswer(ctx, c, errNotResumed)
 		}
 		if !q.stream.headerSent {
+			q.recordOrigin(c.Replica.Build)
 			q.setAnswerHeader(q.gateway.dialect.AnswerHeader(a.Header))
 			q.writer.WriteHeader(a.Status)
 			q.status = a.Status
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -52,6 +52,7 @@
 		// learnt it.
 		incarnation      int64
 		incarnationSince time.Duration
+		builds           *buildSet
 	}
 
 	// hostEntry is a host's entry in the store; the address is nil when the host receives no
@@ -69,10 +70,12 @@
 		// catalog.
 		proof             fpfresh.Proof
 		replicasByService map[string][]fpbalance.Replica
-		registered        []fpfleet.Replica
-		published         publications
-		cacheStores       []fpbalance.CacheStore
-		hostCount         int
+		// builds are the software versions of each service in service.
+		builds      map[string][]string
+		registered  []fpfleet.Replica
+		published   publications
+		cacheStores []fpbalance.CacheStore
+		hostCount   int
 		// hostNames are all hosts and hostsByRegion those of each region, both sorted.
 		hostNames     []string
 		hostsByRegion map[string][]string
@@ -105,6 +108,7 @@
 		unlistedUntil:    make(map[string]time.Duration),
 		reportedVersions: make(map[string]int64),
 		loadingUntil:     make(map[string]time.Duration),
+		builds:           newBuildSet(),
 	}
 }
 
@@ -279,6 +283,7 @@
 		return
 	}
 	c.catalog = n
+	c.gateway.setOriginRetention(n)
 	c.gateway.log("configuration in force", "ConfigVersion", n.Version(), "Revision", revision)
 }
 
@@ -353,6 +358,7 @@
 		}
 	}
 	c.pruneReplicas(s.registered)
+	s.builds = c.updateBuilds(s.registered, now)
 	for _, r := range s.registered {
 		if !r.Draining {
 			s.replicasByService[r.Service] = append(s.replicasByService[r.Service], c.balancerReplica(r, now))
@@ -403,6 +409,7 @@
 		Zone:    r.Zone,
 		Region:  c.gateway.settings().ZoneRegions[r.Zone],
 		Slots:   r.Slots,
+		Build:   r.Build,
 		Loading: now < c.loadingUntil[r.ID],
 	}
 	for _, v := range r.Weights {
--- a/pkg/fpbalance/types.go
+++ b/pkg/fpbalance/types.go
@@ -41,6 +41,8 @@
 		Zone    string
 		Region  string
 		Slots   int
+		// Build is the version of the software, "" if unknown.
+		Build string
 		// Version is the version of the weights, 0 for a service without a model.
 		Version int64
 		// Loading replicas take no new requests until their weights are loaded.
--- a/pkg/fpcatalog/catalog.go
+++ b/pkg/fpcatalog/catalog.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -46,6 +47,15 @@
 // Services returns all services.
 func (c *Catalog) Services() []Service { return c.document.Services }
 
+// LongestTimeout returns the longest timeout of all routes.
+func (c *Catalog) LongestTimeout() time.Duration {
+	longest := time.Duration(0)
+	for _, r := range c.document.Routes {
+		longest = max(longest, r.Timeout)
+	}
+	return longest
+}
+
 // Route returns the host's route with the longest prefix that matches path, or nil if none matches.
 func (c *Catalog) Route(host, path string) *Route {
 	for _, r := range c.routesByHost[strings.ToLower(host)] {
--- a/pkg/fpfleet/fleet.go
+++ b/pkg/fpfleet/fleet.go
@@ -30,6 +30,8 @@
 		Zone     string
 		Slots    int
 		Draining bool
+		// Build is the version of the replica's software, "" if unknown.
+		Build string
 		// Weights holds the version of each model that the replica serves.
 		Weights map[string]int64
 		// StartUnixMilli is the start time of the replica in Unix milliseconds, 0 if unknown.
