Hosts tell each other at which software version streams began

A stream that its caller took up at another host than the one that began it was refused while two software versions were in service, also where replicas of its version served.

While a service has several versions, a host tells the others every 100 ms where its streams began, and its earlier ones once a second version appears. A host that starts is sent them anew: by each host its own, and those that the started host forwarded by one host that is chosen for it. A lost notice costs a refusal only.

--- a/internal/fpgateway/build_test.go
+++ b/internal/fpgateway/build_test.go
@@ -32,6 +32,7 @@
 		other *testCluster
 		// takenUpAt is the host at which the clients take their streams up.
 		takenUpAt *testCluster
+		streams   []brokenStream
 		requests  int
 	}
 
@@ -79,21 +80,45 @@
 }
 
 // restartHosts ends all hosts and then starts them again.
-func (b *buildTest) restartHosts() {
-	for _, o := range []*testCluster{b.testCluster, b.other} {
+func (b *buildTest) restartHosts() { b.restart(b.testCluster, b.other) }
+
+func (b *buildTest) restart(hosts ...*testCluster) {
+	for _, o := range hosts {
 		o.cancel()
 	}
-	for _, o := range []*testCluster{b.testCluster, b.other} {
+	for _, o := range hosts {
 		o.runResult <- <-o.runResult
 	}
-	for _, o := range []*testCluster{b.testCluster, b.other} {
+	for _, o := range hosts {
 		o.startHost()
 	}
-	for _, o := range []*testCluster{b.testCluster, b.other} {
+	for _, o := range hosts {
 		b.waitFor(o.isReady, "ready again")
 	}
 }
 
+// restartFirstHost restarts the host that began the streams, once the other has heard of the last one.
+func (b *buildTest) restartFirstHost() {
+	b.takenUpAt = b.other
+	_, _ = b.takeUp(b.streams[len(b.streams)-1], "")
+	b.restart(b.testCluster)
+	b.takenUpAt = b.testCluster
+}
+
+// addVersion adds engines of a second version, and lets clients return to the other host.
+func (b *buildTest) addVersion() {
+	b.takenUpAt = b.other
+	for _, id := range []string{"e5", "e6"} {
+		e := fpfake.NewReplica(id, "llm", "z1", "m")
+		b.t.Cleanup(e.Close)
+		e.Software, e.StreamEvents = "v2", 5
+		b.store.Put("servers/"+id, e.Registration("ready"))
+	}
+	for _, o := range []*testCluster{b.testCluster, b.other} {
+		b.waitFor(func() bool { return strings.Contains(o.linesWith("replica registered"), `"Replica":"e6"`) }, "the second version")
+	}
+}
+
 // removeEngines ends the engines of a version.
 func (b *buildTest) removeEngines(software string) {
 	for _, e := range b.engines {
@@ -152,8 +177,11 @@
 	return out
 }
 
-// takeUp takes a stream up and returns its whole text, and the status of the last try.
+// takeUp takes a stream up, as that of the named request unless that is "", and returns its whole text, and the status of the last try.
 func (b *buildTest) takeUp(s brokenStream, resumes string) (string, int) {
+	if resumes == "" {
+		resumes = s.id
+	}
 	status := 0
 	for range takeUpTries {
 		res, _ := b.call(b.takenUpAt, map[string]string{"Last-Event-Id": "1", "Resumes": resumes})
@@ -182,11 +210,13 @@
 		resumes string
 		want    string
 	}{
-		"at the same host":      {second: "v2", want: all},
-		"at a second host":      {second: "v2", between: func(b *buildTest) { b.takenUpAt = b.other }, want: all},
-		"unknown first attempt": {second: "v2", resumes: "never seen", want: none},
-		"the old version left":  {second: "v2", between: func(b *buildTest) { b.removeEngines("v1") }, want: someRefused},
-		"all hosts restarted":   {second: "v2", between: (*buildTest).restartHosts, want: none},
+		"at the same host":                       {second: "v2", want: all},
+		"a second version has appeared":          {second: "v1", between: (*buildTest).addVersion, want: all},
+		"at the first host, which has restarted": {second: "v2", between: (*buildTest).restartFirstHost, want: all},
+		"at a second host":                       {second: "v2", between: func(b *buildTest) { b.takenUpAt = b.other }, want: all},
+		"unknown first attempt":                  {second: "v2", resumes: "never seen", want: none},
+		"the old version left":                   {second: "v2", between: func(b *buildTest) { b.removeEngines("v1") }, want: someRefused},
+		"all hosts restarted":                    {second: "v2", between: (*buildTest).restartHosts, want: none},
 		"all hosts restarted after the old version left": {
 			second: "v2", want: none,
 			between: func(b *buildTest) {
@@ -202,16 +232,13 @@
 			is := is.New(t)
 			b := newBuildTest(t, tt.second)
 			streams := b.beginStreams()
+			b.streams = streams
 			if tt.between != nil {
 				tt.between(b)
 			}
 			joinedCount, wentOn, wanted := 0, 0, 0
 			for _, s := range streams {
-				resumes := s.id
-				if tt.resumes != "" {
-					resumes = tt.resumes
-				}
-				text, status := b.takeUp(s, resumes)
+				text, status := b.takeUp(s, tt.resumes)
 				if joined(text) {
 					joinedCount++
 				}
--- a/internal/fpgateway/builds.go
+++ b/internal/fpgateway/builds.go
@@ -39,8 +39,11 @@
 		}
 		out[o.Service] = append(out[o.Service], o.Build)
 	}
-	for _, list := range out {
+	for service, list := range out {
 		slices.Sort(list)
+		if len(list) > 1 && len(c.gateway.snapshot.Load().builds[service]) <= 1 {
+			c.gateway.sendOriginsOf(service)
+		}
 	}
 	return out
 }
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -90,6 +90,8 @@
 		quarantine     *quarantine
 		// origins holds at which software version each stream began.
 		origins *fporigin.Table
+		// unsentOrigins are those that the other hosts are told of next.
+		unsentOrigins []fporigin.Entry
 		// limitsAnnouncedAt holds when a replica's limit was last told to all hosts.
 		limitsAnnouncedAt map[string]time.Duration
 	}
@@ -143,7 +145,7 @@
 	rollout := newRollout(g)
 	for _, f := range []func(context.Context) error{
 		g.logQueue.Run, g.runControl, follower.Run, g.maintainHostEntry, rollout.run, g.runEventReaders, g.receiveNotices, g.applyReloads,
-		g.runQuarantine, g.storeQuarantine,
+		g.runQuarantine, g.storeQuarantine, g.shareOrigins,
 	} {
 		taskCtx, stop := context.WithCancel(inner)
 		r.Add(func() error { return f(taskCtx) }, func(error) { stop() })
--- a/internal/fpgateway/origin.go
+++ b/internal/fpgateway/origin.go
@@ -124,11 +124,17 @@
 
 // recordOrigin records the origin of a stream under the IDs of requests.
 func (g *Gateway) recordOrigin(o fporigin.Origin, ids ...string) {
+	several := len(g.snapshot.Load().builds[o.Service]) > 1
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, id := range slices.Compact(ids) {
-		if id != "" && len(id) <= maxStreamIDBytes {
-			g.origins.Record(fporigin.Entry{Origin: o, ID: id, Host: g.settings().Host}, g.clock())
+		if id == "" || len(id) > maxStreamIDBytes {
+			continue
+		}
+		e := fporigin.Entry{Origin: o, ID: id, Host: g.settings().Host}
+		g.origins.Record(e, g.clock())
+		if several && len(g.unsentOrigins) < maxUnsentOrigins {
+			g.unsentOrigins = append(g.unsentOrigins, e)
 		}
 	}
 }
--- a/internal/fpgateway/peers.go
+++ b/internal/fpgateway/peers.go
@@ -84,6 +84,9 @@
 	if p := n.Quarantined; p != nil {
 		g.quarantinePart(p.ID, n.Host)
 	}
+	if o := n.Origins; o != nil {
+		g.handleOriginsNotice(o, n.Host)
+	}
 	if l := n.Limit; l != nil {
 		g.handleLimitNotice(l, n.Host)
 	}
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -212,6 +212,9 @@
 func (c *controlState) applyItem(i fpstore.Item, now time.Duration, complete bool, listed *[]fpfleet.Replica) {
 	if len(i.Key) > len(hostKeyPrefix) && i.Key[:len(hostKeyPrefix)] == hostKeyPrefix {
 		c.applyHostEntry(i)
+		if name := i.Key[len(hostKeyPrefix):]; !complete && !i.Deleted {
+			c.gateway.resendOrigins(name, c.hosts[name].address)
+		}
 		return
 	}
 	if id, ok := strings.CutPrefix(i.Key, quarantineKeyPrefix); ok {
--- a/internal/fpnotice/notice.go
+++ b/internal/fpnotice/notice.go
@@ -99,6 +99,14 @@
 		Rate    float64 `json:",omitempty"`
 	}
 
+	// StreamOrigins reports the software version of a service that began streams, by the IDs of the
+	// requests that brought their first events.
+	StreamOrigins struct {
+		Service string
+		Build   string
+		IDs     []string
+	}
+
 	// Notice is the content of one datagram; Host is its sender. RelayInZone asks the receiver to
 	// forward the notice to the other hosts of its availability zone.
 	Notice struct {
@@ -114,6 +122,8 @@
 		Answered    *PartsAnswered   `json:",omitempty"`
 		Quarantined *PartQuarantined `json:",omitempty"`
 		Limit       *ReplicaLimit    `json:",omitempty"`
+
+		Origins *StreamOrigins `json:",omitempty"`
 	}
 
 	// Socket sends and receives notices over UDP.
