Software versions that have just left outlast a restart of all hosts

Streams were joined from two software versions after all hosts were killed at once while the servers of the old version had just left: the hosts came back, saw a single version and let streams of unknown origin go on there.

The holder of the order lease keeps the versions of registered replicas in the store, under a lease of one and a half retentions (the longest timeout of a route, 30 s at least) that it renews at a third. If a version is no longer registered, the others move to a new lease and the former runs out, so that the entry stays for one retention at least. A new holder, an ended lease and a restored store lead to a new lease and new entries. A service's versions in service are those registered, those in the store and those that this host saw within the retention; a stream of unknown origin goes on only if there is one. Calls to the store while nothing changes: one renewal each third of the lease.

--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -14,6 +14,7 @@
 	"github.com/fescuepoint/fescuepoint/pkg/fpcatalog"
 	"github.com/fescuepoint/fescuepoint/pkg/fpfleet"
 	"github.com/fescuepoint/fescuepoint/pkg/fpfresh"
+	"github.com/fescuepoint/fescuepoint/pkg/fporigin"
 )
 
 const (
@@ -21,6 +22,8 @@
 	hostKeyPrefix = "fescuepoint/hosts/"
 	// orderLeaseKey is held under a lease by the host that gives orders.
 	orderLeaseKey = "fescuepoint/orders"
+	// buildKeyPrefix is the prefix of the software versions' keys, which outlast their replicas.
+	buildKeyPrefix = "fescuepoint/builds/"
 )
 
 type (
@@ -70,12 +73,15 @@
 		// catalog.
 		proof             fpfresh.Proof
 		replicasByService map[string][]fpbalance.Replica
-		// builds are the software versions of each service in service.
-		builds      map[string][]string
-		registered  []fpfleet.Replica
-		published   publications
-		cacheStores []fpbalance.CacheStore
-		hostCount   int
+		// builds are the software versions in service by service, registeredBuilds those of registered
+		// replicas, and storedBuilds those in the store by key.
+		builds           map[string][]string
+		registeredBuilds map[fporigin.Origin]bool
+		storedBuilds     map[string]fporigin.Origin
+		registered       []fpfleet.Replica
+		published        publications
+		cacheStores      []fpbalance.CacheStore
+		hostCount        int
 		// hostNames are all hosts and hostsByRegion those of each region, both sorted.
 		hostNames     []string
 		hostsByRegion map[string][]string
@@ -131,6 +137,7 @@
 		restored = c.recordIncarnation(u.Position, now)
 		c.storeBehind = c.catalog != nil && (restored || c.storeBehind)
 		c.clearHosts(restored, now)
+		c.clearBuilds(restored, now)
 		c.gateway.applyUnlistedParts(u.Items, restored)
 		c.orderLeaseHolder = ""
 		c.published.clearRecords()
@@ -221,6 +228,10 @@
 		c.gateway.applyQuarantineEntry(id, i)
 		return
 	}
+	if strings.HasPrefix(i.Key, buildKeyPrefix) {
+		c.applyBuildEntry(i)
+		return
+	}
 	if i.Key == orderLeaseKey {
 		c.orderLeaseHolder, c.orderLeaseRevision = string(i.Value), i.Revision
 		c.gateway.log("order lease entry received", "Holder", c.orderLeaseHolder, "Revision", i.Revision)
@@ -361,7 +372,7 @@
 		}
 	}
 	c.pruneReplicas(s.registered)
-	s.builds = c.updateBuilds(s.registered, now)
+	c.addBuilds(s, now)
 	for _, r := range s.registered {
 		if !r.Draining {
 			s.replicasByService[r.Service] = append(s.replicasByService[r.Service], c.balancerReplica(r, now))
