A stream does not go on at a replica that has restarted since it registered

Streams were joined from two software versions at a replica that had started again under its ID and address with another version, for as long as the host had not heard of it: a second, or for longer at a host out of touch. On the code before:

build_test.go:305: 5 != 0 --- FAIL: TestStreamJoinedAtRestartedReplica (3.88s) build_test.go:304: of 12 streams 12 went on, 5 were joined FAIL FAIL github.com/fescuepoint/fescuepoint/internal/fpgateway 3.892s FAIL

Before a stream is taken up or goes on, the host asks the replica for its report (250 ms at most) and leaves it alone if its start time is not that of its registration. Without an answer, or a start time, it goes on as before. A new stream is sent without the question, so that its version may be recorded wrongly in that time.

Measured: "of 12 streams 12 went on, 0 were joined"; the tests of internal/fpgateway and platform pass.

--- a/internal/fpgateway/build_test.go
+++ b/internal/fpgateway/build_test.go
@@ -281,3 +281,27 @@
 	}
 	is.Equal(ran, 1)
 }
+
+// TestStreamJoinedAtRestartedReplica restarts all replicas but one under their IDs with another software
+// version, of which the store does not tell yet. Streams must go on at the one that is left.
+func TestStreamJoinedAtRestartedReplica(t *testing.T) {
+	is := is.New(t)
+	b := newBuildTest(t, "v1")
+	streams := b.beginStreams()
+	for _, e := range b.engines[1:] {
+		e.RestartAs("v2")
+	}
+	joinedCount, wentOn := 0, 0
+	for _, s := range streams {
+		text, status := b.takeUp(s, "")
+		if joined(text) {
+			joinedCount++
+		}
+		if status == http.StatusOK {
+			wentOn++
+		}
+	}
+	t.Logf("of %d streams %d went on, %d were joined", len(streams), wentOn, joinedCount)
+	is.Equal(joinedCount, 0)
+	is.Equal(wentOn, len(streams))
+}
--- a/internal/fpgateway/dialect.go
+++ b/internal/fpgateway/dialect.go
@@ -119,6 +119,8 @@
 		OrdersAccepted int64
 		Running        int
 		Queued         int
+		// StartUnixMilli is the start time of the replica in Unix milliseconds, 0 if unknown.
+		StartUnixMilli int64
 	}
 
 	// Order tells a replica to load a version of a model's weights.
--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -214,6 +214,11 @@
 			q.announceWork(c, true)
 		}
 	}()
+	if q.buildKnown && q.hasRestarted(ctx, c.Replica) {
+		q.triedReplicas = append(q.triedReplicas, c.Replica.ID)
+		q.appendTrail("%s has restarted", c.Replica.ID)
+		return tryAnotherReplica
+	}
 	attempt, cancelCause := context.WithCancelCause(ctx)
 	cancel := func() { cancelCause(nil) }
 	defer cancel()
--- a/internal/fpgateway/origin.go
+++ b/internal/fpgateway/origin.go
@@ -1,11 +1,13 @@
 package fpgateway
 
 import (
+	"context"
 	"slices"
 	"time"
 
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
 	"github.com/fescuepoint/fescuepoint/pkg/fpcatalog"
+	"github.com/fescuepoint/fescuepoint/pkg/fpfleet"
 	"github.com/fescuepoint/fescuepoint/pkg/fporigin"
 )
 
@@ -19,6 +21,8 @@
 	minBuildRetention = 30 * time.Second
 	// maxBuildRetention bounds the same; the store's leases are no longer than ten minutes.
 	maxBuildRetention = 6 * time.Minute
+	// startCheckTimeout bounds the question whether a replica is the one that is registered.
+	startCheckTimeout = 250 * time.Millisecond
 )
 
 // buildRetention returns how long a stream may be taken up after the last replica of its software version
@@ -101,6 +105,24 @@
 	return out
 }
 
+// hasRestarted reports whether a replica says that it has started anew since its registration that this
+// host knows, maybe at another software version.
+func (q *request) hasRestarted(ctx context.Context, r fpbalance.Replica) bool {
+	g := q.gateway
+	i := slices.IndexFunc(q.snapshot.registered, func(f fpfleet.Replica) bool { return f.ID == r.ID })
+	if i < 0 || q.snapshot.registered[i].StartUnixMilli == 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, startCheckTimeout)
+	defer cancel()
+	status, body, err := g.callReplica(ctx, g.dialect.ReportCall(r.Address, r.ID))
+	if err != nil {
+		return false
+	}
+	report, err := g.dialect.DecodeReport(status, body)
+	return err == nil && report.StartUnixMilli != 0 && report.StartUnixMilli != q.snapshot.registered[i].StartUnixMilli
+}
+
 // recordOrigin records the software version of a stream, before its first event is forwarded.
 func (q *request) recordOrigin(build string) {
 	if q.isTakeUp() {
