Gateway: a replica that says in an answer that it leaves gets no new request

Cause: the header was read nowhere; leaving was known from the store alone.

Change: any answer to this request by this replica (also refusals, failures and control calls) marks the start of the replica that the request was sent to, in the balancer under its lock, so that the next choice knows it and no full queue can lose it. The mark is kept by ID and start: an entry put again, a lapsed one, a complete list or a store outage does not lift it, a new start does. All other hosts are told once. Running work goes on.

--- a/internal/fpgateway/dialect.go
+++ b/internal/fpgateway/dialect.go
@@ -104,6 +104,8 @@
 		// that it takes from all hosts together.
 		HasLimit bool
 		Limit    float64
+		// Leaving says that the replica takes no new requests until it starts anew.
+		Leaving bool
 		// Version is that of the weights, 0 when not reported.
 		Version int64
 		// Encoded says that the body has a content encoding, so that its bytes are not the
--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -80,6 +80,9 @@
 		if !q.awaitLimit(ctx, c) {
 			return
 		}
+		if q.dropChoice(c) {
+			continue
+		}
 		if q.tryReplica(ctx, c) == requestDone {
 			return
 		}
@@ -256,6 +259,7 @@
 	q.sends++
 	reply := g.dialect.DecodeReply(a.Status, a.Header)
 	q.recordReply(c, reply, sentAt)
+	q.recordIntake(c, a, reply)
 	// After another answer, a rejection without an ID may be a late one of the request before.
 	if reply.NotRun && (reply.ID == q.caller.ID || a.FirstOnConnection) {
 		return q.handleNotRun(c, a, reply)
--- a/internal/fpgateway/events.go
+++ b/internal/fpgateway/events.go
@@ -130,6 +130,7 @@
 		return CacheEvents{}, err
 	}
 	defer a.Close()
+	g.recordControlIntake(r.ID, r.StartUnixMilli, a)
 	memory := g.answerMemory.NewReservation()
 	defer memory.Release()
 	body, err := fpconn.ReadAll(a.Body, maxEventsBytes, memory)
--- /dev/null
+++ b/internal/fpgateway/intake.go
@@ -0,0 +1,78 @@
+package fpgateway
+
+import (
+	"github.com/fescuepoint/fescuepoint/internal/fpconn"
+	"github.com/fescuepoint/fescuepoint/internal/fpnotice"
+	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
+	"github.com/fescuepoint/fescuepoint/pkg/fpfleet"
+)
+
+// recordIntake records what an answer says of the requests that its replica takes from now on. An answer
+// that may belong to another request or replica says nothing.
+func (q *request) recordIntake(c fpbalance.Choice, a *fpconn.Response, r Reply) {
+	if r.ID != q.caller.ID && (r.ID != "" || !a.NewConnection) {
+		return
+	}
+	q.gateway.recordReplicaIntake(c.Replica.ID, c.Replica.StartUnixMilli, r)
+}
+
+// recordControlIntake is recordIntake for a control call, whose answer has no request's ID.
+func (g *Gateway) recordControlIntake(id string, startUnixMilli int64, a *fpconn.Response) {
+	if r := g.dialect.DecodeReply(a.Status, a.Header); r.ID == "" {
+		g.recordReplicaIntake(id, startUnixMilli, r)
+	}
+}
+
+// recordReplicaIntake records what an answer of a start of a replica, in Unix milliseconds, says.
+func (g *Gateway) recordReplicaIntake(id string, startUnixMilli int64, r Reply) {
+	if r.Replica != "" && r.Replica != id {
+		return
+	}
+	if r.Leaving && g.markReplicaLeaving(id, startUnixMilli, "answer") {
+		n := fpnotice.ReplicaLeaving{Replica: id, StartUnixMilli: startUnixMilli}
+		g.sendNotice(g.snapshot.Load().allPeers, fpnotice.Notice{Leaving: &n})
+	}
+}
+
+// markReplicaLeaving keeps new requests from a start of a replica, and reports whether it got any before.
+func (g *Gateway) markReplicaLeaving(id string, startUnixMilli int64, source string) bool {
+	g.mu.Lock()
+	marked := g.balancer.RecordLeaving(id, startUnixMilli, g.clock())
+	g.mu.Unlock()
+	if marked {
+		g.metrics.AddToCounter("replicas_leaving", 1)
+		g.log("replica leaving", "Replica", id, "Start", startUnixMilli, "Source", source)
+		// The next snapshot shows it.
+		g.enqueueControl(func(*controlState) {})
+	}
+	return marked
+}
+
+// leaving reports whether a start of a replica has said that it leaves.
+func (g *Gateway) leaving(id string, startUnixMilli int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.Leaving(id, startUnixMilli)
+}
+
+// markLeaving sets the replicas that have said that they leave to draining.
+func (g *Gateway) markLeaving(registered []fpfleet.Replica) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, r := range registered {
+		registered[i].Draining = r.Draining || g.balancer.Leaving(r.ID, r.StartUnixMilli)
+	}
+}
+
+// dropChoice gives up a choice whose replica has said since that it takes no new request, and reports
+// whether it did.
+func (q *request) dropChoice(c fpbalance.Choice) bool {
+	g := q.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.balancer.Leaving(c.Replica.ID, c.Replica.StartUnixMilli) {
+		return false
+	}
+	g.balancer.RecordEnd(c, false)
+	return true
+}
--- a/internal/fpgateway/origin.go
+++ b/internal/fpgateway/origin.go
@@ -115,7 +115,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, startCheckTimeout)
 	defer cancel()
-	status, body, err := g.callReplica(ctx, g.dialect.ReportCall(r.Address, r.ID))
+	status, body, err := g.callReplica(ctx, q.snapshot.registered[i], g.dialect.ReportCall(r.Address, r.ID))
 	if err != nil {
 		return false
 	}
--- a/internal/fpgateway/peers.go
+++ b/internal/fpgateway/peers.go
@@ -87,6 +87,9 @@
 	if o := n.Origins; o != nil {
 		g.handleOriginsNotice(o, n.Host)
 	}
+	if l := n.Leaving; l != nil {
+		g.markReplicaLeaving(l.Replica, l.StartUnixMilli, n.Host)
+	}
 	if l := n.Limit; l != nil {
 		g.handleLimitNotice(l, n.Host)
 	}
--- a/internal/fpgateway/rollout.go
+++ b/internal/fpgateway/rollout.go
@@ -389,7 +389,7 @@
 
 func (r *rollout) fetchReport(ctx context.Context, u weightsUpdate) (Report, error) {
 	g := r.gateway
-	status, body, err := g.callReplica(ctx, g.dialect.ReportCall(u.replica.Address, u.replica.ID))
+	status, body, err := g.callReplica(ctx, u.replica, g.dialect.ReportCall(u.replica.Address, u.replica.ID))
 	if err != nil {
 		return Report{}, err
 	}
@@ -418,7 +418,7 @@
 		g.log("order not sent", "Replica", id, "Error", err.Error())
 		return false
 	}
-	status, _, err := g.callReplica(ctx, call)
+	status, _, err := g.callReplica(ctx, u.replica, call)
 	r.setUnanswered(id, err != nil)
 	if err != nil {
 		g.log("no answer to the order", "Replica", id, "WeightsVersion", u.version, "Fence", o.FencingToken, "Error", err.Error())
@@ -442,7 +442,7 @@
 }
 
 // callReplica makes a control call to a replica and reads the whole answer.
-func (g *Gateway) callReplica(ctx context.Context, call fpconn.Call) (int, []byte, error) {
+func (g *Gateway) callReplica(ctx context.Context, r fpfleet.Replica, call fpconn.Call) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, controlCallTimeout)
 	defer cancel()
 	a, err := g.pool.Do(ctx, call)
@@ -450,6 +450,7 @@
 		return 0, nil, err
 	}
 	defer a.Close()
+	g.recordControlIntake(r.ID, r.StartUnixMilli, a)
 	body, err := fpconn.ReadAll(a.Body, maxControlAnswerBytes, nil)
 	return a.Status, body, err
 }
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -266,7 +266,7 @@
 // removeReplica removes a replica whose entry was deleted. One that was not draining and broke off
 // answers has crashed.
 func (c *controlState) removeReplica(id string, revision int64, now time.Duration) {
-	if !c.storeUnreachable && !c.fleet.Draining(id) {
+	if !c.storeUnreachable && !c.fleet.Draining(id) && !c.gateway.leaving(id, c.startTimes[id]) {
 		c.gateway.recordCrash(id, "entry deleted")
 	}
 	c.fleet.Remove(id, revision, now)
@@ -373,6 +373,7 @@
 	}
 	c.pruneReplicas(s.registered)
 	c.addBuilds(s, now)
+	c.gateway.markLeaving(s.registered)
 	for _, r := range s.registered {
 		if !r.Draining {
 			s.replicasByService[r.Service] = append(s.replicasByService[r.Service], c.balancerReplica(r, now))
@@ -417,6 +418,8 @@
 
 func (c *controlState) balancerReplica(r fpfleet.Replica, now time.Duration) fpbalance.Replica {
 	m := fpbalance.Replica{
+		StartUnixMilli: r.StartUnixMilli,
+
 		ID:      r.ID,
 		Service: r.Service,
 		Address: r.Address,
--- a/internal/fpnotice/notice.go
+++ b/internal/fpnotice/notice.go
@@ -107,6 +107,13 @@
 		IDs     []string
 	}
 
+	// ReplicaLeaving reports that a replica that started at a time, in Unix milliseconds, takes no new
+	// requests.
+	ReplicaLeaving struct {
+		Replica        string
+		StartUnixMilli int64
+	}
+
 	// Notice is the content of one datagram; Host is its sender. RelayInZone asks the receiver to
 	// forward the notice to the other hosts of its availability zone.
 	Notice struct {
@@ -123,7 +130,8 @@
 		Quarantined *PartQuarantined `json:",omitempty"`
 		Limit       *ReplicaLimit    `json:",omitempty"`
 
-		Origins *StreamOrigins `json:",omitempty"`
+		Origins *StreamOrigins  `json:",omitempty"`
+		Leaving *ReplicaLeaving `json:",omitempty"`
 	}
 
 	// Socket sends and receives notices over UDP.
--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -62,6 +62,7 @@
 		location       Location
 		cacheDirectory *CacheDirectory
 		loads          map[string]*replicaLoad
+		intakes        map[replicaStart]*intake
 		services       map[string]*figures
 		// roundTrips holds the network round trips by availability zone.
 		roundTrips     map[string]fpestimate.Quantity
@@ -73,7 +74,7 @@
 func New(location Location) *Balancer {
 	return &Balancer{
 		location: location, cacheDirectory: NewCacheDirectory(), loads: make(map[string]*replicaLoad),
-		services: make(map[string]*figures), roundTrips: make(map[string]fpestimate.Quantity), refusedSamples: make(map[string]int),
+		intakes: make(map[replicaStart]*intake), services: make(map[string]*figures), roundTrips: make(map[string]fpestimate.Quantity), refusedSamples: make(map[string]int),
 	}
 }
 
@@ -116,7 +117,7 @@
 	shortestWait := fplimit.NoShare
 	limited := false
 	for _, r := range replicas {
-		if r.Loading || slices.Contains(q.ExcludedReplicas, r.ID) ||
+		if r.Loading || b.Leaving(r.ID, r.StartUnixMilli) || slices.Contains(q.ExcludedReplicas, r.ID) ||
 			!b.loadOf(r.ID).circuit.AllowsDispatch(time.Unix(0, int64(now))) {
 			continue
 		}
@@ -279,7 +280,7 @@
 	}
 	for _, r := range replicas {
 		// Copying from a source that is gone costs the replica hundreds of milliseconds.
-		if r.ID == destination.ID || r.Version != destination.Version || r.Loading || !b.Reachable(r.ID, now) {
+		if r.ID == destination.ID || r.Version != destination.Version || r.Loading || b.Leaving(r.ID, r.StartUnixMilli) || !b.Reachable(r.ID, now) {
 			continue
 		}
 		consider(r.ID, r.Address, link.MegabitsPerSecond, transferFactor(r.Zone, r.Region, destination))
--- a/pkg/fpbalance/types.go
+++ b/pkg/fpbalance/types.go
@@ -7,8 +7,8 @@
 )
 
 var (
-	// ErrNoReplica is returned when every replica of the service is excluded, loading, too old or
-	// failing.
+	// ErrNoReplica is returned when every replica of the service is excluded, loading, leaving, too
+	// old or failing.
 	ErrNoReplica = errors.New("no replica of the service may be used")
 	// ErrLimited is returned when the limits that the replicas name leave no room for the request soon;
 	// the choice's predicted wait is the time until they do.
@@ -43,6 +43,8 @@
 		Slots   int
 		// Build is the version of the software, "" if unknown.
 		Build string
+		// StartUnixMilli is the time of the replica's start in Unix milliseconds, 0 if unknown.
+		StartUnixMilli int64
 		// Version is the version of the weights, 0 for a service without a model.
 		Version int64
 		// Loading replicas take no new requests until their weights are loaded.
