Gateway: a replica that refuses with a Retry-After gets no request until its end

Cause: the Retry-After of a replica was read nowhere.

Evidence, on the code before (pause_test.go and the stand-in only): pause_test.go:57: 88 requests reached the replica within the pause; 100 served, 0 not pause_test.go:57: 61 requests reached the replica within the pause; 100 served, 0 not pause_test.go:57: 40 requests reached the replica within the pause; 116 served, 0 not pause_test.go:57: 34 requests reached the replica within the pause; 100 served, 0 not (x4: 34, 34, 34, 34) pause_test.go:57: 20 requests reached the replica within the pause; 152 served, 0 not --- FAIL: TestReplicaThatAsksForPauseGetsNoRequest (8 of 8 cases) pause_test.go:81: 16 and 16 of 16 requests reached the replicas (x4) --- FAIL: TestAllReplicasPause (4 of 4 cases)

Change: a 503 to this request by this replica, whether or not it says that it did not run, with a positive finite number of seconds pauses that start of the replica at this host until the end of that time; the longest of several holds (fplimit.Pause). No bound is put on the time: the rule holds to its end, and the memory is bounded by the 4096 remembered starts. The choice passes paused replicas over; what waited for a limit or for a connection is checked again before its first byte. If all replicas pause, the request is rejected at once as not run, with the time until the first pause ends plus up to a quarter of it, so that callers come back spread out. Running work goes on. Control calls (reports, orders, cache events) are not held back.

After: 0 requests reached the replica within the pause in all eight cases, none failed; 1 and 1 of 16 requests where both pause.

--- a/internal/fpconn/exchange.go
+++ b/internal/fpconn/exchange.go
@@ -52,6 +52,8 @@
 		// Key identifies the request, so that MarkRefused can keep it from a connection; it is "" for
 		// calls that are never marked.
 		Key string
+		// Check, unless nil, is called once there is a connection; with an error nothing is sent.
+		Check func() error
 	}
 
 	// Response is an upstream's response; the caller must close it.
@@ -99,6 +101,12 @@
 		_ = c.Close()
 		return nil, errors.Mark(err, ErrNotSent)
 	}
+	if call.Check != nil {
+		if err := call.Check(); err != nil {
+			_ = c.Close()
+			return nil, errors.Mark(err, ErrNotSent)
+		}
+	}
 	writtenBefore := c.bytesWritten.Load()
 	r := &Response{pool: p, conn: c, key: call.Key, NewConnection: c.completedExchanges == 0}
 	if r.NewConnection {
--- a/internal/fpgateway/dialect.go
+++ b/internal/fpgateway/dialect.go
@@ -106,6 +106,9 @@
 		Limit    float64
 		// Leaving says that the replica takes no new requests until it starts anew.
 		Leaving bool
+		// Pause is how long a replica that refused the request wants none from this host, 0 if it does not
+		// say.
+		Pause time.Duration
 		// Version is that of the weights, 0 when not reported.
 		Version int64
 		// Encoded says that the body has a content encoding, so that its bytes are not the
--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -73,7 +73,7 @@
 		}
 		c, err := q.chooseReplica()
 		if err != nil {
-			q.failRequest(err.Error(), max(c.PredictedWait-q.route.Objective, q.retryAfter()))
+			q.failRequest(err.Error(), q.retryAfterChoice(c, err))
 			return
 		}
 		q.choice = c
@@ -314,6 +314,7 @@
 		Body:    q.body,
 		MaxIdle: recent,
 		Key:     id,
+		Check:   func() error { return q.gateway.checkIntake(c.Replica) },
 		Accept: func(h http.Header) bool {
 			got := dialect.DecodeReply(0, h).ID
 			return got == "" || got == id
@@ -370,6 +371,7 @@
 func (q *request) handleNoAnswer(ctx context.Context, c fpbalance.Choice, err, cause error) attemptResult {
 	g := q.gateway
 	switch {
+	case errors.Is(err, errNotTaken):
 	case errors.Is(err, syscall.ECONNREFUSED):
 		g.markReplicaDown(c.Replica.ID)
 	case ctx.Err() == nil && !errors.Is(cause, errQuarantined):
--- a/internal/fpgateway/intake.go
+++ b/internal/fpgateway/intake.go
@@ -1,12 +1,24 @@
 package fpgateway
 
 import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/internal/fpnotice"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
 	"github.com/fescuepoint/fescuepoint/pkg/fpfleet"
 )
 
+// pauseSpread is the part of a pause over which the return of callers is spread.
+const pauseSpread = 0.25
+
+// errNotTaken means that a replica said that it takes no new request before one was sent.
+var errNotTaken = errors.New("the replica takes no new request now")
+
 // recordIntake records what an answer says of the requests that its replica takes from now on. An answer
 // that may belong to another request or replica says nothing.
 func (q *request) recordIntake(c fpbalance.Choice, a *fpconn.Response, r Reply) {
@@ -32,6 +44,20 @@
 		n := fpnotice.ReplicaLeaving{Replica: id, StartUnixMilli: startUnixMilli}
 		g.sendNotice(g.snapshot.Load().allPeers, fpnotice.Notice{Leaving: &n})
 	}
+	if r.Pause > 0 {
+		g.pauseReplica(id, startUnixMilli, r.Pause)
+	}
+}
+
+// pauseReplica keeps requests from a start of a replica for a time.
+func (g *Gateway) pauseReplica(id string, startUnixMilli int64, d time.Duration) {
+	g.mu.Lock()
+	began := g.balancer.RecordPause(id, startUnixMilli, d, g.clock())
+	g.mu.Unlock()
+	if began {
+		g.metrics.AddToCounter("replica_pauses", 1)
+		g.log("replica pauses requests", "Replica", id, "Pause", d.String())
+	}
 }
 
 // markReplicaLeaving keeps new requests from a start of a replica, and reports whether it got any before.
@@ -70,9 +96,29 @@
 	g := q.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.balancer.Leaving(c.Replica.ID, c.Replica.StartUnixMilli) {
+	if g.balancer.MaySend(c.Replica, g.clock()) {
 		return false
 	}
 	g.balancer.RecordEnd(c, false)
 	return true
 }
+
+// checkIntake fails if a replica has said since it was chosen that it takes no new request.
+func (g *Gateway) checkIntake(r fpbalance.Replica) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.balancer.MaySend(r, g.clock()) {
+		return nil
+	}
+	return errNotTaken
+}
+
+// retryAfterChoice returns the time after which a caller may come back for whom no replica was chosen. Those
+// that all replicas keep waiting come back spread over a part of the pause.
+func (q *request) retryAfterChoice(c fpbalance.Choice, err error) time.Duration {
+	if errors.Is(err, fpbalance.ErrPaused) {
+		spread := time.Duration(rand.Float64() * pauseSpread * float64(c.PredictedWait))
+		return max(c.PredictedWait+min(spread, math.MaxInt64-c.PredictedWait), q.retryAfter())
+	}
+	return max(c.PredictedWait-q.route.Objective, q.retryAfter())
+}
--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -1,7 +1,6 @@
 package fpbalance
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -114,19 +113,14 @@
 func (b *Balancer) lowestScore(replicas []Replica, q Request, link Link, now time.Duration) (Choice, error) {
 	owner := b.rendezvousOwner(replicas, q)
 	best := Choice{Score: -1}
-	shortestWait := fplimit.NoShare
-	limited := false
+	o := obstacles{limitWait: fplimit.NoShare, pauseLeft: fplimit.NoShare}
 	for _, r := range replicas {
-		if r.Loading || b.Leaving(r.ID, r.StartUnixMilli) || slices.Contains(q.ExcludedReplicas, r.ID) ||
-			!b.loadOf(r.ID).circuit.AllowsDispatch(time.Unix(0, int64(now))) {
-			continue
-		}
-		if wait := b.loadOf(r.ID).limitWait(now); wait > q.maxLimitWait() {
-			limited, shortestWait = true, min(shortestWait, wait)
+		if b.obstructed(r, q, now, &o) {
 			continue
 		}
 		c := b.scoreReplica(replicas, r, q, link, r.ID == owner, now)
 		if !q.mayBegin(c) {
+			o.other = true
 			continue
 		}
 		if best.Score < 0 || c.Score < best.Score {
@@ -134,10 +128,8 @@
 		}
 	}
 	switch {
-	case best.Score < 0 && limited:
-		return Choice{PredictedWait: min(shortestWait, fplimit.ProbeInterval)}, ErrLimited
 	case best.Score < 0:
-		return best, ErrNoReplica
+		return o.choice()
 	case best.PredictedWait > q.TimeToDeadline:
 		return best, ErrDeadlineInfeasible
 	}
@@ -280,7 +272,7 @@
 	}
 	for _, r := range replicas {
 		// Copying from a source that is gone costs the replica hundreds of milliseconds.
-		if r.ID == destination.ID || r.Version != destination.Version || r.Loading || b.Leaving(r.ID, r.StartUnixMilli) || !b.Reachable(r.ID, now) {
+		if r.ID == destination.ID || r.Version != destination.Version || r.Loading || !b.MaySend(r, now) || !b.Reachable(r.ID, now) {
 			continue
 		}
 		consider(r.ID, r.Address, link.MegabitsPerSecond, transferFactor(r.Zone, r.Region, destination))
--- a/pkg/fpbalance/types.go
+++ b/pkg/fpbalance/types.go
@@ -13,6 +13,9 @@
 	// ErrLimited is returned when the limits that the replicas name leave no room for the request soon;
 	// the choice's predicted wait is the time until they do.
 	ErrLimited = errors.New("the limits of all replicas are used up")
+	// ErrPaused is returned when the replicas of the service want no requests for a time; the choice's
+	// predicted wait is the time until the first takes some again.
+	ErrPaused = errors.New("all replicas pause requests")
 	// ErrDeadlineInfeasible is returned when the chosen replica would answer after the deadline.
 	ErrDeadlineInfeasible = errors.New("no replica would answer in the time that is left")
 )
