What upstreams say of new requests as a container of its own, for both front doors

Moved from fpbalance to fplimit.Intakes, keyed by one start of an upstream; the behaviour is as before.

--- a/pkg/fpbalance/balancer.go
+++ b/pkg/fpbalance/balancer.go
@@ -61,7 +61,7 @@
 		location       Location
 		cacheDirectory *CacheDirectory
 		loads          map[string]*replicaLoad
-		intakes        map[replicaStart]*intake
+		intakes        fplimit.Intakes[replicaStart]
 		services       map[string]*figures
 		// roundTrips holds the network round trips by availability zone.
 		roundTrips     map[string]fpestimate.Quantity
@@ -73,7 +73,7 @@
 func New(location Location) *Balancer {
 	return &Balancer{
 		location: location, cacheDirectory: NewCacheDirectory(), loads: make(map[string]*replicaLoad),
-		intakes: make(map[replicaStart]*intake), services: make(map[string]*figures), roundTrips: make(map[string]fpestimate.Quantity), refusedSamples: make(map[string]int),
+		services: make(map[string]*figures), roundTrips: make(map[string]fpestimate.Quantity), refusedSamples: make(map[string]int),
 	}
 }
 
--- a/pkg/fpbalance/intake.go
+++ b/pkg/fpbalance/intake.go
@@ -1,16 +1,12 @@
 package fpbalance
 
 import (
-	"maps"
 	"slices"
 	"time"
 
 	"github.com/fescuepoint/fescuepoint/pkg/fplimit"
 )
 
-// maxIntakes bounds the starts of replicas of which a balancer remembers what they said of new requests.
-const maxIntakes = 4096
-
 type (
 	// replicaStart identifies one start of a replica.
 	replicaStart struct {
@@ -18,13 +14,6 @@
 		unixMilli int64
 	}
 
-	// intake is what a replica said of the requests that it takes; it holds until the replica starts anew.
-	intake struct {
-		leaving    bool
-		pause      fplimit.Pause
-		recordedAt time.Duration
-	}
-
 	// obstacles are why replicas can't take a request: the shortest waits for a share of a limit and for the
 	// end of a pause, [fplimit.NoShare] for none, whether a replica fails, and whether there is another cause.
 	obstacles struct {
@@ -38,48 +27,33 @@
 // RecordLeaving records that a start of a replica, in Unix milliseconds, takes no new requests, and reports
 // whether that was unknown.
 func (b *Balancer) RecordLeaving(id string, startUnixMilli int64, now time.Duration) bool {
-	n := b.intakeOf(id, startUnixMilli, now)
-	if n.leaving {
-		return false
-	}
-	n.leaving = true
-	return true
+	return b.intakes.RecordLeaving(replicaStart{id: id, unixMilli: startUnixMilli}, now)
 }
 
 // Leaving reports whether a start of a replica, in Unix milliseconds, has said that it takes no new requests.
 func (b *Balancer) Leaving(id string, startUnixMilli int64) bool {
-	n := b.intakes[replicaStart{id: id, unixMilli: startUnixMilli}]
-	return n != nil && n.leaving
+	return b.intakes.Leaving(replicaStart{id: id, unixMilli: startUnixMilli})
 }
 
 // RecordPause records that a start of a replica, in Unix milliseconds, wants no requests for a time from now,
-// and reports whether it may take some until now.
+// and reports whether it took some until now.
 func (b *Balancer) RecordPause(id string, startUnixMilli int64, d, now time.Duration) bool {
-	n := b.intakeOf(id, startUnixMilli, now)
-	began := n.pause.Left(now) == 0
-	n.pause = n.pause.WithDelay(d, now)
-	return began
-}
-
-// PauseLeft returns for how long a start of a replica, in Unix milliseconds, wants no requests.
-func (b *Balancer) PauseLeft(id string, startUnixMilli int64, now time.Duration) time.Duration {
-	if n := b.intakes[replicaStart{id: id, unixMilli: startUnixMilli}]; n != nil {
-		return n.pause.Left(now)
-	}
-	return 0
+	return b.intakes.RecordPause(replicaStart{id: id, unixMilli: startUnixMilli}, d, now)
 }
 
 // MaySend reports whether a replica neither leaves nor pauses.
 func (b *Balancer) MaySend(r Replica, now time.Duration) bool {
-	return !b.Leaving(r.ID, r.StartUnixMilli) && b.PauseLeft(r.ID, r.StartUnixMilli, now) == 0
+	return b.intakes.MaySend(r.start(), now)
 }
 
+func (r Replica) start() replicaStart { return replicaStart{id: r.ID, unixMilli: r.StartUnixMilli} }
+
 // obstructed reports whether a replica can't take a request, and adds the cause to o.
 func (b *Balancer) obstructed(r Replica, q Request, now time.Duration, o *obstacles) bool {
-	if b.Leaving(r.ID, r.StartUnixMilli) {
+	if b.intakes.Leaving(r.start()) {
 		return true
 	}
-	if left := b.PauseLeft(r.ID, r.StartUnixMilli, now); left > 0 {
+	if left := b.intakes.PauseLeft(r.start(), now); left > 0 {
 		o.pauseLeft = min(o.pauseLeft, left)
 		return true
 	}
@@ -113,34 +87,3 @@
 		return Choice{Score: -1}, ErrNoReplica
 	}
 }
-
-// intakeOf returns what a start of a replica said, which it creates if there is nothing.
-func (b *Balancer) intakeOf(id string, startUnixMilli int64, now time.Duration) *intake {
-	key := replicaStart{id: id, unixMilli: startUnixMilli}
-	n := b.intakes[key]
-	if n == nil {
-		if len(b.intakes) >= maxIntakes {
-			b.dropOldestIntake(now)
-		}
-		n = &intake{}
-		b.intakes[key] = n
-	}
-	n.recordedAt = now
-	return n
-}
-
-// dropOldestIntake drops what says nothing any longer, or else the oldest.
-func (b *Balancer) dropOldestIntake(now time.Duration) {
-	maps.DeleteFunc(b.intakes, func(_ replicaStart, n *intake) bool { return !n.leaving && n.pause.Left(now) == 0 })
-	if len(b.intakes) < maxIntakes {
-		return
-	}
-	var oldest replicaStart
-	var found *intake
-	for key, n := range b.intakes {
-		if found == nil || n.recordedAt < found.recordedAt {
-			oldest, found = key, n
-		}
-	}
-	delete(b.intakes, oldest)
-}
--- a/pkg/fpbalance/intake_test.go
+++ b/pkg/fpbalance/intake_test.go
@@ -1,7 +1,6 @@
 package fpbalance
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -67,15 +66,3 @@
 		})
 	}
 }
-
-// TestIntakesAreBounded checks that the replicas that were recorded first are forgotten first.
-func TestIntakesAreBounded(t *testing.T) {
-	is := is.New(t)
-	b := New(Location{})
-	for i := range maxIntakes + 10 {
-		b.RecordLeaving(fmt.Sprint(i), 1, time.Duration(i))
-	}
-	is.Equal(len(b.intakes), maxIntakes)
-	is.True(!b.Leaving("9", 1))
-	is.True(b.Leaving("10", 1))
-}
