Own interface: an upstream that says in an answer that it leaves gets no new request

Callers saw: an engine or a service's replica that leaves went on getting requests from this host until a load report, the host list or another host said so; an answer could not say it. Refused ones cost an attempt each, and a request that may run only once ended with an unknown outcome.

Cause: the interface had no word for it in answers, and nothing read one.

Change: X-Leaving: true on any answer to an attempt (also refusals, polls and resumed streams) marks that incarnation of the upstream in the dispatcher, for chats and service calls, once or idempotent. An answer with another attempt's ID marks nothing. Running work and its polls go on. The stand-ins say it.

--- a/internal/fpchat/chat.go
+++ b/internal/fpchat/chat.go
@@ -34,6 +34,8 @@
 	WeightsHeader = "X-Weights"
 	// SoftwareHeader carries the software version of the engine process that answers.
 	SoftwareHeader = "X-Software-Version"
+	// LeavingHeader is "true" on an answer of an upstream that takes no new requests until it starts anew.
+	LeavingHeader = "X-Leaving"
 	// ImportHeader asks an engine to import the prompt's blocks from the cache store first.
 	ImportHeader = "X-Import"
 	// EventStream is the content type of a streamed answer.
--- a/internal/fpdispatch/chat.go
+++ b/internal/fpdispatch/chat.go
@@ -183,7 +183,7 @@
 // that connection is refused, the error is ErrAttemptUnknown, not ErrNotRun, since the attempt may
 // have run.
 func (r *chatRun) resumeAttempt(ctx context.Context, cause error) (*fpupstream.Stream, error) {
-	s, err := r.dispatcher.client.ResumeStream(ctx, r.target.candidate.Address, r.attemptID, r.assembler.Delivered())
+	s, err := r.dispatcher.client.ResumeStream(ctx, r.resumedAttempt(), r.assembler.Delivered())
 	if errors.Is(err, fpupstream.ErrNotRun) {
 		err = errors.Mark(errors.Newf("%v, then %v", cause, err), fpupstream.ErrAttemptUnknown)
 	}
@@ -193,6 +193,11 @@
 	return s, err
 }
 
+// resumedAttempt returns the attempt as far as its resumption needs it.
+func (r *chatRun) resumedAttempt() fpupstream.Attempt {
+	return fpupstream.Attempt{ID: r.attemptID, Address: r.target.candidate.Address, OnIntake: r.dispatcher.recordIntake(r.target.start())}
+}
+
 func isResumable(err error) bool {
 	return errors.IsAny(err, fpupstream.ErrInterrupted, fpupstream.ErrSilent, fpupstream.ErrMismatched, fpstream.ErrBufferFull) &&
 		!errors.IsAny(err, fpupstream.ErrAttemptUnknown, fpupstream.ErrNotRun, ErrCallerGone)
@@ -287,6 +292,7 @@
 		Body:         body,
 		OnConnected:  r.ledger.MarkDispatched,
 		DispatchGate: r.dispatchGate,
+		OnIntake:     r.dispatcher.recordIntake(r.target.start()),
 	}
 }
 
--- a/internal/fpdispatch/dispatcher.go
+++ b/internal/fpdispatch/dispatcher.go
@@ -16,6 +16,7 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpstate"
 	"github.com/fescuepoint/fescuepoint/internal/fpupstream"
 	"github.com/fescuepoint/fescuepoint/pkg/fpclaim"
+	"github.com/fescuepoint/fescuepoint/pkg/fplimit"
 	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
 	"github.com/fescuepoint/fescuepoint/pkg/fpquarantine"
 	"github.com/fescuepoint/fescuepoint/pkg/fprecord"
@@ -80,6 +81,7 @@
 		placementTimes    []time.Time
 		quarantine        *fpquarantine.Tracker
 		startedAt         time.Time
+		intakes           fplimit.Intakes[upstreamStart]
 	}
 
 	// AdmittedRequest is an admitted request, without its content.
--- a/internal/fpdispatch/place.go
+++ b/internal/fpdispatch/place.go
@@ -55,6 +55,7 @@
 func (d *Dispatcher) placeChat(q AdmittedRequest, req fpchat.Request, m fpconfig.Model, begun origin, excluded []string) (target, error) {
 	s := d.state.Load()
 	adapter, _ := m.AdapterVersion(req.Adapter)
+	excluded = d.excludeClosed(&s.View, m.Name, excluded)
 	weights := []string{begun.weights}
 	if !begun.begun {
 		weights = weightsVersions(&s.View, m.Name)
--- a/internal/fpdispatch/service.go
+++ b/internal/fpdispatch/service.go
@@ -94,6 +94,7 @@
 		Body:         c.Body,
 		OnConnected:  ledger.MarkDispatched,
 		DispatchGate: dispatchGate,
+		OnIntake:     d.recordIntake(startOf(u)),
 	}
 	if c.ContentType != "" {
 		a.Header.Set("Content-Type", c.ContentType)
@@ -107,7 +108,7 @@
 	best := -1
 	replicas := s.Services[service]
 	for i, u := range replicas {
-		if u.Leaving || slices.Contains(excluded, u.Name) || eligible != nil && !eligible(u) {
+		if u.Leaving || slices.Contains(excluded, u.Name) || !d.maySend(startOf(u)) || eligible != nil && !eligible(u) {
 			continue
 		}
 		if best < 0 || isPreferred(s, u, replicas[best]) {
--- a/internal/fpstandin/engine.go
+++ b/internal/fpstandin/engine.go
@@ -189,7 +189,11 @@
 		e.mu.Unlock()
 		writeJSON(w, e.loadReport())
 	})
-	return e.faults.wrapHandler(m)
+	return e.faults.wrapHandler(withLeaving(m, func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.leaving
+	}))
 }
 
 // Counts returns a copy of the engine's counts so far.
--- a/internal/fpstandin/fault.go
+++ b/internal/fpstandin/fault.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/fescuepoint/fescuepoint/internal/fpchat"
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 )
 
@@ -115,6 +116,16 @@
 	})
 }
 
+// withLeaving returns a handler whose answers say whether the stand-in leaves.
+func withLeaving(next http.Handler, leaving func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if leaving() {
+			w.Header().Set(fpchat.LeavingHeader, "true")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Header returns a header that is never sent.
 func (d *discardingWriter) Header() http.Header { return d.header }
 
--- a/internal/fpstandin/service.go
+++ b/internal/fpstandin/service.go
@@ -71,7 +71,11 @@
 	m.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.loadReport()) })
 	m.HandleFunc("GET /v1/attempts/{id}", s.serveAttempt)
 	m.HandleFunc("/", s.serveCall)
-	return s.faults.wrapHandler(m)
+	return s.faults.wrapHandler(withLeaving(m, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.leaving
+	}))
 }
 
 func (s *Service) loadReport() fpupstream.LoadReport {
--- a/internal/fpupstream/call.go
+++ b/internal/fpupstream/call.go
@@ -118,6 +118,7 @@
 	if err != nil {
 		return Response{}, err
 	}
+	a.reportIntake(res)
 	return readResponse(ctx, res, a.ID)
 }
 
--- a/internal/fpupstream/client.go
+++ b/internal/fpupstream/client.go
@@ -63,6 +63,8 @@
 		// DispatchGate is called when the connection is established and before the first byte is
 		// sent; an error stops the attempt. It is nil for idempotent attempts.
 		DispatchGate func() error
+		// OnIntake, unless nil, is called with what the header of an answer says of new requests.
+		OnIntake func(Intake)
 	}
 )
 
@@ -144,6 +146,7 @@
 		_ = res.Body.Close()
 		return nil, err
 	}
+	a.reportIntake(res)
 	return res, nil
 }
 
--- a/internal/fpupstream/stream.go
+++ b/internal/fpupstream/stream.go
@@ -35,9 +35,13 @@
 
 // ResumeStream returns an attempt's answer from an offset on, over a new
 // connection; ErrAttemptUnknown means that the engine no longer has it.
-func (c *Client) ResumeStream(ctx context.Context, address, attemptID string, offset int) (*Stream, error) {
-	return c.openStream(ctx, attemptID, func(ctx context.Context) (*http.Response, error) {
-		return c.getOverNewConn(ctx, address, "/v1/attempts/"+attemptID+"?offset="+strconv.Itoa(offset))
+func (c *Client) ResumeStream(ctx context.Context, a Attempt, offset int) (*Stream, error) {
+	return c.openStream(ctx, a.ID, func(ctx context.Context) (*http.Response, error) {
+		res, err := c.getOverNewConn(ctx, a.Address, "/v1/attempts/"+a.ID+"?offset="+strconv.Itoa(offset))
+		if err == nil {
+			a.reportIntake(res)
+		}
+		return res, err
 	})
 }
 
