Own interface: an upstream that refuses with a Retry-After gets no request until its end

Callers saw: while an engine or a service's replica refused requests and said for how long it wants none, this host went on sending to it; a plain service's refusal was polled for an answer that never came and counted as a crash, and a request that may run only once was sent to it again and again.

Cause: the Retry-After of an upstream was read nowhere; 429 and a plain service's refusal had no meaning in the interface.

Evidence, on the code before: intake_test.go:242: Complete; then 8 of 8 requests reached the pausing upstream; outcomes map[Complete:8] (x4) intake_test.go:242: Unknown; then 8 of 8 requests reached the pausing upstream; outcomes map[Complete:8] (x4) --- FAIL: TestUpstreamThatAsksForPauseGetsNoRequest (8 of 8 cases) intake_test.go:272: 6, 6, 13 and 8 of 8 requests reached the pausing upstreams --- FAIL: TestAllUpstreamsPause (4 of 4 cases)

Change: a 503 or 429 with Retry-After pauses that incarnation of the upstream at this host until its end, for chats and service calls, once or idempotent. 429 to a new attempt is a refusal as 503 is; so is a plain service's 503 or 429 with Retry-After and without an attempt's ID, which is no longer polled. The pause is checked again at the gate of what may run once. If all upstreams pause, the request is refused at once as not run, with the time until the first pause ends plus up to a quarter. Seconds are read, and the return is spread, by fplimit for both front doors.

After: 0 of 8 requests reached the pausing upstream in each of the eight cases, and 2 of 8 where both pause; internal/fpdispatch (15 s), fpupstream, fpstandin, fphost, fpcaller and pkg/... pass.

--- a/internal/fpdispatch/chat.go
+++ b/internal/fpdispatch/chat.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -15,6 +16,7 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpchat"
 	"github.com/fescuepoint/fescuepoint/internal/fpupstream"
 	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
+	"github.com/fescuepoint/fescuepoint/pkg/fplimit"
 	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
 	"github.com/fescuepoint/fescuepoint/pkg/fpquarantine"
 	"github.com/fescuepoint/fescuepoint/pkg/fprecord"
@@ -103,7 +105,10 @@
 // finishOrRetry decides after a failed attempt whether another replica may be tried; it returns the
 // outcome and true if none may.
 func (r *chatRun) finishOrRetry(err error, attempts int) (fpoutcome.Outcome, bool) {
-	if !errors.Is(err, errOtherSoftware) {
+	switch {
+	case errors.Is(err, errNotTaken):
+		r.dispatcher.recordAbandoned(r.target)
+	case !errors.Is(err, errOtherSoftware):
 		r.dispatcher.recordFailure(r.target)
 	}
 	if errors.Is(err, errUpstreamCrashed) {
@@ -135,6 +140,9 @@
 	if errors.Is(err, fproute.ErrOverload) && len(t.decision.Ranked) > 0 {
 		retryAfter = time.Duration(t.decision.Ranked[0].QueueSeconds * float64(time.Second))
 	}
+	if errors.Is(err, errPaused) {
+		retryAfter = fplimit.ReturnAfter(t.pauseLeft, rand.Float64())
+	}
 	r.dispatcher.addRecord(r.admitted, fprecord.Refused, "", err.Error())
 	return r.ledger.IncompleteOutcome(err.Error(), retryAfter)
 }
@@ -291,7 +299,7 @@
 		Header:       http.Header{"Content-Type": {"application/json"}},
 		Body:         body,
 		OnConnected:  r.ledger.MarkDispatched,
-		DispatchGate: r.dispatchGate,
+		DispatchGate: r.dispatcher.gateFor(r.target.start(), r.dispatchGate),
 		OnIntake:     r.dispatcher.recordIntake(r.target.start()),
 	}
 }
--- a/internal/fpdispatch/intake_test.go
+++ b/internal/fpdispatch/intake_test.go
@@ -220,3 +220,64 @@
 		})
 	}
 }
+
+// upstreamPause is the retry delay of an upstream that refuses requests.
+const upstreamPause = 10 * time.Second
+
+// TestUpstreamThatAsksForPauseGetsNoRequest checks that an upstream that refuses a request with a retry delay
+// gets none until its end, and then some again.
+func TestUpstreamThatAsksForPauseGetsNoRequest(t *testing.T) {
+	for name, kind := range requestKinds() {
+		for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests} {
+			t.Run(fmt.Sprint(name, "/", status), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f := newIntakeFixture(t)
+					defer f.close()
+					pausing := f.first[kind.upstream+"0"]
+					pausing.say(status, map[string]string{"Retry-After": fmt.Sprint(upstreamPause.Seconds())})
+					refused := kind.send(f, "refused").Kind()
+					pausing.say(0, nil)
+					kinds := f.sendSeveral(kind.send, "first")
+					t.Logf("%v; then %d of %d requests reached the pausing upstream; outcomes %v", refused, pausing.arrivalCount()-1, intakeRequests, kinds)
+					is.Equal(pausing.arrivalCount(), 1)
+					is.Equal(kinds[fpoutcome.Complete], intakeRequests)
+					if !strings.HasSuffix(name, "once") {
+						is.Equal(refused, fpoutcome.Complete)
+					}
+					time.Sleep(upstreamPause)
+					is.Equal(f.sendSeveral(kind.send, "second")[fpoutcome.Complete], intakeRequests)
+					is.True(pausing.arrivalCount() > 1)
+				})
+			})
+		}
+	}
+}
+
+// TestAllUpstreamsPause checks that a request is refused at once as not run while all upstreams pause, with the
+// time until the first pause ends.
+func TestAllUpstreamsPause(t *testing.T) {
+	for name, kind := range requestKinds() {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newIntakeFixture(t)
+				defer f.close()
+				for i := range 2 {
+					f.first[fmt.Sprint(kind.upstream, i)].say(http.StatusServiceUnavailable,
+						map[string]string{"Retry-After": fmt.Sprint((1 + 5*float64(i)) * upstreamPause.Seconds())})
+				}
+				f.sendSeveral(kind.send, "first")
+				arrivals := f.first[kind.upstream+"0"].arrivalCount() + f.first[kind.upstream+"1"].arrivalCount()
+				t.Logf("%d of %d requests reached the pausing upstreams", arrivals, intakeRequests)
+				is.Equal(arrivals, 2)
+				began := time.Now()
+				o := kind.send(f, "last")
+				is.Equal(o.Kind(), fpoutcome.NotRun)
+				is.Equal(time.Since(began), time.Duration(0))
+				is.True(o.RetryAfter() > upstreamPause/2)
+				is.True(o.RetryAfter() <= upstreamPause+upstreamPause/4)
+			})
+		})
+	}
+}
--- a/internal/fpdispatch/place.go
+++ b/internal/fpdispatch/place.go
@@ -28,6 +28,8 @@
 		seed      fpprefix.Seed
 		candidate fproute.Candidate
 		decision  fproute.Decision
+		// pauseLeft is the time until a replica takes requests again, if all pause.
+		pauseLeft time.Duration
 	}
 )
 
@@ -89,8 +91,14 @@
 			placeErr = nil
 		}
 	}
-	if begun.begun && errors.Is(placeErr, fproute.ErrNoReplica) {
-		placeErr = errors.Wrapf(placeErr, "the answer began at software version %q", begun.softwareVersion)
+	if errors.Is(placeErr, fproute.ErrNoReplica) {
+		best.pauseLeft = d.pauseLeftForModel(&s.View, m.Name)
+		switch {
+		case best.pauseLeft > 0:
+			placeErr = errPaused
+		case begun.begun:
+			placeErr = errors.Wrapf(placeErr, "the answer began at software version %q", begun.softwareVersion)
+		}
 	}
 	return best, placeErr
 }
--- a/internal/fpdispatch/service.go
+++ b/internal/fpdispatch/service.go
@@ -14,7 +14,6 @@
 	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
 	"github.com/fescuepoint/fescuepoint/pkg/fpquarantine"
 	"github.com/fescuepoint/fescuepoint/pkg/fprecord"
-	"github.com/fescuepoint/fescuepoint/pkg/fproute"
 )
 
 type (
@@ -53,8 +52,7 @@
 		}
 		u, ok := d.selectReplica(c.Service, excluded, eligible)
 		if !ok {
-			d.addRecord(q, fprecord.Refused, "", "no replica of the service can be reached")
-			return fpclaimant.Result{Outcome: ledger.IncompleteOutcome(fproute.ErrNoReplica.Error()+" "+c.Service, defaultRetryAfter)}
+			return fpclaimant.Result{Outcome: d.refuseUnplaced(q, c.Service, ledger, eligible)}
 		}
 		d.addRecord(q, fprecord.Placed, u.Name, "least running calls",
 			fprecord.Figure{Name: "running", Value: float64(u.Report.Running)})
@@ -93,7 +91,7 @@
 		Header:       http.Header{},
 		Body:         c.Body,
 		OnConnected:  ledger.MarkDispatched,
-		DispatchGate: dispatchGate,
+		DispatchGate: d.gateFor(startOf(u), dispatchGate),
 		OnIntake:     d.recordIntake(startOf(u)),
 	}
 	if c.ContentType != "" {
--- a/internal/fpgateway/intake.go
+++ b/internal/fpgateway/intake.go
@@ -1,7 +1,6 @@
 package fpgateway
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -11,11 +10,9 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpnotice"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
 	"github.com/fescuepoint/fescuepoint/pkg/fpfleet"
+	"github.com/fescuepoint/fescuepoint/pkg/fplimit"
 )
 
-// pauseSpread is the part of a pause over which the return of callers is spread.
-const pauseSpread = 0.25
-
 // errNotTaken means that a replica said that it takes no new request before one was sent.
 var errNotTaken = errors.New("the replica takes no new request now")
 
@@ -117,8 +114,7 @@
 // that all replicas keep waiting come back spread over a part of the pause.
 func (q *request) retryAfterChoice(c fpbalance.Choice, err error) time.Duration {
 	if errors.Is(err, fpbalance.ErrPaused) {
-		spread := time.Duration(rand.Float64() * pauseSpread * float64(c.PredictedWait))
-		return max(c.PredictedWait+min(spread, math.MaxInt64-c.PredictedWait), q.retryAfter())
+		return max(fplimit.ReturnAfter(c.PredictedWait, rand.Float64()), q.retryAfter())
 	}
 	return max(c.PredictedWait-q.route.Objective, q.retryAfter())
 }
--- a/internal/fpupstream/call.go
+++ b/internal/fpupstream/call.go
@@ -62,6 +62,10 @@
 	if err != nil {
 		return callResult{err: err}
 	}
+	if err := refusalError(res); err != nil {
+		_ = res.Body.Close()
+		return callResult{err: err}
+	}
 	response, err := readResponse(ctx, res, a.ID)
 	return callResult{response: response, err: err}
 }
--- a/internal/fpupstream/client.go
+++ b/internal/fpupstream/client.go
@@ -197,7 +197,7 @@
 // statusError maps a response's status to an error of this package, or nil.
 func statusError(res *http.Response) error {
 	switch res.StatusCode {
-	case http.StatusServiceUnavailable, http.StatusConflict:
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusConflict:
 		return errors.Wrapf(ErrNotRun, "status %d", res.StatusCode)
 	case http.StatusNotFound:
 		return errors.Wrapf(ErrAttemptUnknown, "status %d", res.StatusCode)
--- a/internal/fpupstream/stream.go
+++ b/internal/fpupstream/stream.go
@@ -38,10 +38,16 @@
 func (c *Client) ResumeStream(ctx context.Context, a Attempt, offset int) (*Stream, error) {
 	return c.openStream(ctx, a.ID, func(ctx context.Context) (*http.Response, error) {
 		res, err := c.getOverNewConn(ctx, a.Address, "/v1/attempts/"+a.ID+"?offset="+strconv.Itoa(offset))
-		if err == nil {
-			a.reportIntake(res)
+		if err != nil {
+			return nil, err
 		}
-		return res, err
+		a.reportIntake(res)
+		if res.StatusCode == http.StatusTooManyRequests {
+			// The attempt may still run there.
+			_ = res.Body.Close()
+			return nil, errors.Wrapf(ErrInterrupted, "status %d", res.StatusCode)
+		}
+		return res, nil
 	})
 }
 
--- a/pkg/fplimit/pause_test.go
+++ b/pkg/fplimit/pause_test.go
@@ -34,3 +34,11 @@
 		})
 	}
 }
+
+// TestReturnAfterPause checks that callers come back after the pause, spread over a part of it.
+func TestReturnAfterPause(t *testing.T) {
+	is := is.New(t)
+	is.Equal(ReturnAfter(8*time.Second, 0), 8*time.Second)
+	is.Equal(ReturnAfter(8*time.Second, 0.5), 9*time.Second)
+	is.Equal(ReturnAfter(math.MaxInt64, 0.5), time.Duration(math.MaxInt64))
+}
