Gateway: a replica that wants no requests for a time isn't polled for cache events either

Callers saw: nothing; but a paused engine, which wants nothing from this host, went on getting the calls for its cache events, about one a second.

Cause: the readers of cache events knew nothing of pauses.

Evidence, on the code before: pause_test.go:116: 3 polls within the pause pause_test.go:117: 4 != 1 --- FAIL: TestPausedReplicaIsNotPolled

Change: a reader waits for the end of the pause; readers are keyed by the start of the replica too, so that a new start is read at once.

After: 0 polls within the pause; polled again after it.

--- a/internal/fpgateway/events.go
+++ b/internal/fpgateway/events.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
@@ -61,8 +62,8 @@
 	return nil
 }
 
-// eventSources returns the engines and cache stores whose events this host reads, keyed by ID
-// and address.
+// eventSources returns the engines and cache stores whose events this host reads, keyed by ID,
+// address and start.
 func (g *Gateway) eventSources() map[string]fpbalance.Replica {
 	s := g.snapshot.Load()
 	out := make(map[string]fpbalance.Replica)
@@ -80,7 +81,7 @@
 		}
 		for _, r := range replicas {
 			if r.Engine && s.eventReader(r.ID, r.Region) == g.settings().Host {
-				out[r.ID+"@"+r.Address] = r
+				out[r.ID+"@"+r.Address+"@"+strconv.FormatInt(r.StartUnixMilli, 10)] = r
 			}
 		}
 	}
@@ -106,6 +107,10 @@
 func (g *Gateway) followCacheEvents(ctx context.Context, r fpbalance.Replica) {
 	since, epoch := int64(0), int64(0)
 	for ctx.Err() == nil {
+		if left := g.pauseLeft(r); left > 0 {
+			fpclock.Sleep(ctx, min(left, readersRefreshInterval))
+			continue
+		}
 		e, err := g.readCacheEvents(ctx, r, since)
 		if err != nil {
 			g.metrics.AddToCounter("cache_event_errors", 1)
--- a/internal/fpgateway/intake.go
+++ b/internal/fpgateway/intake.go
@@ -110,6 +110,13 @@
 	return errNotTaken
 }
 
+// pauseLeft returns for how long a replica wants no requests.
+func (g *Gateway) pauseLeft(r fpbalance.Replica) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.PauseLeft(r, g.clock())
+}
+
 // retryAfterChoice returns the time after which a caller may come back for whom no replica was chosen. Those
 // that all replicas keep waiting come back spread over a part of the pause.
 func (q *request) retryAfterChoice(c fpbalance.Choice, err error) time.Duration {
--- a/internal/fpgateway/pause_test.go
+++ b/internal/fpgateway/pause_test.go
@@ -93,3 +93,27 @@
 		})
 	}
 }
+
+// TestPausedReplicaIsNotPolled checks that the calls for cache events, too, leave a replica alone that wants no
+// requests for a time, and go on after it.
+func TestPausedReplicaIsNotPolled(t *testing.T) {
+	const pause = 4 * time.Second
+	is := is.New(t)
+	tc := newTestCluster(t)
+	e := tc.engines[0]
+	tc.waitFor(func() bool { return len(e.EventPolls()) > 0 }, "a first poll")
+	e.SetRetryAfter(fmt.Sprint(pause.Seconds()))
+	e.SetDefaultBehaviour(fpfake.Reject)
+	tc.waitFor(func() bool {
+		tc.sendMany("hint", 1)
+		return len(e.Arrivals()) > 0
+	}, "a refusal")
+	end := e.Arrivals()[0].At.Add(pause)
+	// A poll that is held open as the pause begins may end in it.
+	tc.waitFor(func() bool { return time.Until(end) < pause-time.Second }, "held polls over")
+	before := len(e.EventPolls())
+	tc.waitFor(func() bool { return time.Until(end) < pauseReaction }, "the end of the pause is near")
+	t.Logf("%d polls within the pause", len(e.EventPolls())-before)
+	is.Equal(len(e.EventPolls()), before)
+	tc.waitFor(func() bool { return len(e.EventPolls()) > before }, "polled again")
+}
--- a/pkg/fpbalance/intake.go
+++ b/pkg/fpbalance/intake.go
@@ -46,6 +46,11 @@
 	return b.intakes.MaySend(r.start(), now)
 }
 
+// PauseLeft returns for how long a replica wants no requests.
+func (b *Balancer) PauseLeft(r Replica, now time.Duration) time.Duration {
+	return b.intakes.PauseLeft(r.start(), now)
+}
+
 func (r Replica) start() replicaStart { return replicaStart{id: r.ID, unixMilli: r.StartUnixMilli} }
 
 // obstructed reports whether a replica can't take a request, and adds the cause to o.
@@ -53,7 +58,7 @@
 	if b.intakes.Leaving(r.start()) {
 		return true
 	}
-	if left := b.intakes.PauseLeft(r.start(), now); left > 0 {
+	if left := b.PauseLeft(r, now); left > 0 {
 		o.pauseLeft = min(o.pauseLeft, left)
 		return true
 	}
