Tests: ports for hosts are below those that the kernel assigns

Change: ports are tried from 20000 on, where the kernel assigns none, from a place that differs between processes. Bounds are as they were.

--- a/internal/fpgateway/cluster_test.go
+++ b/internal/fpgateway/cluster_test.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +28,11 @@
 	"github.com/fescuepoint/fescuepoint/platform/fpsoak"
 )
 
+// nextPort counts the ports that were tried, from where processes hardly meet.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(uint32(os.Getpid()) * 97) }
+
 type (
 	// testCluster is a store, replicas and the host under test.
 	testCluster struct {
@@ -65,14 +72,22 @@
 	return b.buffer.String()
 }
 
+// freeAddress returns an address whose port no connection of another test or process takes before a host
+// listens on it: one below the ports that the kernel assigns.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	const firstPort, ports = 20000, 12000
+	for range ports {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+int(nextPort.Add(1))%ports))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return address
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // configDocument returns a configuration of four routes: chat and hint to the engines, call and
