--- a/review/standin/bodies.go
+++ b/review/standin/bodies.go
@@ -13,7 +13,7 @@
 	memoryMB = 134
 	// A body of the longest that the limits of the configuration allow, and how many come to a host.
 	longBodyBytes = 4 << 20
-	longBodies    = 40
+	longBodies    = 50
 )
 
 func init() { scenarios["bodies"] = longBodiesAtOnce }
@@ -116,17 +116,17 @@
 	for n := range longBodies * len(e.hosts) {
 		send := func() {
 			c := streamCall(e.hosts[n%len(e.hosts)], n, 8*time.Second)
-			c.body, c.pieceDelay = fmt.Sprint(n)+body, 30*time.Millisecond
+			c.body, c.pieceDelay = fmt.Sprint(n)+body, 40*time.Millisecond
 			c.onEvent = func(int, string) {}
 			a := c.send()
 			e.record.line("long body %s to %s: %d, whole %v, %v", a.id, c.host.name, a.status, a.complete, a.err)
 		}
 		if e.trouble {
 			long.Go(send)
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(15 * time.Millisecond)
 		} else {
 			long.Go(send)
-			time.Sleep(400 * time.Millisecond)
+			time.Sleep(330 * time.Millisecond)
 		}
 	}
 	long.Wait()
