--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -41,9 +42,23 @@
 
 func newStore() *store {
 	s := &store{rev: 1, items: map[string]storeItem{}, leases: map[int64]*lease{}, changed: make(chan struct{})}
+	s.address = s.serve(nil)
+	go func() {
+		for range time.Tick(20 * time.Millisecond) {
+			s.mu.Lock()
+			s.expire()
+			s.mu.Unlock()
+		}
+	}()
+	return s
+}
+
+type translationKey struct{}
+
+// serve returns an address of the store. Its answers name other addresses of replicas if there is a translation.
+func (s *store) serve(translate func(string) string) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
-	s.address = l.Addr().String()
 	m := http.NewServeMux()
 	m.HandleFunc("GET /kv-key", s.get)
 	m.HandleFunc("GET /kv-range", s.list)
@@ -52,15 +67,27 @@
 	m.HandleFunc("POST /kv-lease", s.grant)
 	m.HandleFunc("POST /kv-keep/{id}", s.keep)
 	m.HandleFunc("DELETE /kv-lease-end/{id}", s.end)
-	go func() { _ = http.Serve(l, m) }()
-	go func() {
-		for range time.Tick(20 * time.Millisecond) {
-			s.mu.Lock()
-			s.expire()
-			s.mu.Unlock()
-		}
-	}()
-	return s
+	server := &http.Server{Handler: m, BaseContext: func(net.Listener) context.Context {
+		return context.WithValue(context.Background(), translationKey{}, translate)
+	}}
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().String()
+}
+
+// translated returns an item with the address that the caller has to use.
+func translated(r *http.Request, i storeItem) storeItem {
+	translate, _ := r.Context().Value(translationKey{}).(func(string) string)
+	if translate == nil || i.Tombstone || !strings.HasPrefix(i.Key, "servers/") {
+		return i
+	}
+	var entry map[string]any
+	if json.Unmarshal(i.Value, &entry) != nil {
+		return i
+	}
+	address, _ := entry["address"].(string)
+	entry["address"] = translate(address)
+	i.Value, _ = json.Marshal(entry)
+	return i
 }
 
 func (s *store) expire() {
@@ -148,7 +175,7 @@
 	reply(w, 200, struct {
 		storeItem
 		Current int64 `json:"current_rev"`
-	}{i, rev})
+	}{translated(r, i), rev})
 }
 
 func (s *store) list(w http.ResponseWriter, r *http.Request) {
@@ -156,7 +183,7 @@
 	var out []storeItem
 	for k, i := range s.items {
 		if strings.HasPrefix(k, r.URL.Query().Get("prefix")) && k > r.URL.Query().Get("after") {
-			out = append(out, i)
+			out = append(out, translated(r, i))
 		}
 	}
 	rev := s.rev
@@ -176,7 +203,7 @@
 		out := []storeItem{}
 		for n := len(s.events) - 1; n >= 0 && s.events[n].Revision > after; n-- {
 			if strings.HasPrefix(s.events[n].Key, r.URL.Query().Get("prefix")) {
-				out = append(out, s.events[n])
+				out = append(out, translated(r, s.events[n]))
 			}
 		}
 		rev, changed := s.rev, s.changed
