--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -12,7 +12,9 @@
 
 	mu       sync.Mutex
 	listener net.Listener
-	conns    map[net.Conn]bool
+	// silent says that the link carries nothing, without a reset.
+	silent bool
+	conns  map[net.Conn]bool
 }
 
 func newProxy(target string) *proxy {
@@ -55,7 +57,7 @@
 	done := make(chan struct{}, 2)
 	for _, pair := range [][2]net.Conn{{c, t}, {t, c}} {
 		go func() {
-			_, _ = io.Copy(pair[0], pair[1])
+			p.pump(pair[0], pair[1])
 			done <- struct{}{}
 		}()
 	}
@@ -68,6 +70,55 @@
 	_ = t.Close()
 }
 
+// pump carries bytes until an end closes; while the link is silent, it drops them.
+func (p *proxy) pump(to io.Writer, from io.Reader) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && !p.isSilent() {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (p *proxy) isSilent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent
+}
+
+func (p *proxy) setSilent(silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = silent
+}
+
+// newDatagramProxy carries datagrams to a target, unless the link is silent, and returns its address.
+func newDatagramProxy(target string, link *proxy) string {
+	from, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	check(err)
+	to, err := net.Dial("udp4", target)
+	check(err)
+	go func() {
+		buffer := make([]byte, 64<<10)
+		for {
+			n, _, err := from.ReadFrom(buffer)
+			if err != nil {
+				return
+			}
+			if !link.isSilent() {
+				_, _ = to.Write(buffer[:n])
+			}
+		}
+	}()
+	return from.LocalAddr().String()
+}
+
 // cut resets the link's connections and refuses new ones.
 func (p *proxy) cut() {
 	p.mu.Lock()
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -157,6 +157,16 @@
 	return out
 }
 
+// translatedHost returns the entry of a host behind a translation with the address at which others reach it.
+func (s *store) translatedHost(r *http.Request, key string, value []byte) []byte {
+	translate, _ := r.Context().Value(translationKey{}).(func(string) string)
+	address, place, found := strings.Cut(string(value), " ")
+	if translate == nil || !found || !strings.HasPrefix(key, "fescuepoint/hosts/") {
+		return value
+	}
+	return []byte(translate(address) + " " + place)
+}
+
 func reply(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -270,7 +280,7 @@
 		return
 	}
 	for _, p := range t.Puts {
-		s.change(p.Key, p.Value, p.Lease, false)
+		s.change(p.Key, s.translatedHost(r, p.Key, p.Value), p.Lease, false)
 	}
 	for _, k := range t.Remove {
 		if _, ok := s.items[k]; ok {
