--- a/review/standin/bodies.go
+++ b/review/standin/bodies.go
@@ -119,8 +119,7 @@
 			c.body, c.pieceDelay = fmt.Sprint(n)+body, 40*time.Millisecond
 			c.header["Token-Usage"], c.header["Prompt-Prefix"] = "200000,40", fmt.Sprintf("%08x:200000", 0x20000+n)
 			c.onEvent = func(int, string) {}
-			a := c.send()
-			e.record.line("long body %s to %s: %d, whole %v, %v", a.id, c.host.name, a.status, a.complete, a.err)
+			c.send()
 		}
 		if e.trouble {
 			long.Go(send)
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -63,8 +63,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), c.deadline)
 	defer cancel()
+	current.record.line("sent      %s to %s: %s %s, %d bytes, Last-Event-Id %q", a.id, c.host.name, c.method, c.path, len(c.body), c.header["Last-Event-Id"])
 	a.err = c.exchange(ctx, &a)
 	a.took = time.Since(began)
+	current.record.line("answered  %s %d after %v, whole %v, %v", a.id, a.status, a.took.Round(time.Millisecond), a.complete, a.err)
 	return a
 }
 
--- a/review/standin/order.go
+++ b/review/standin/order.go
@@ -44,7 +44,7 @@
 					}
 				}
 				a := c.send()
-				e.record.line("answered  %s at %s: %d, whole %v, events of software %v", a.id, c.host.name, a.status, a.complete, versions)
+				e.record.line("got       %s: events of software %v", a.id, versions)
 				if len(versions) > 1 {
 					mu.Lock()
 					joined++
--- a/review/standin/outofstep.go
+++ b/review/standin/outofstep.go
@@ -77,7 +77,6 @@
 				c.onEvent = onEvent
 				e.record.line("taken up  %s as %s at %s after event %d of %v", first, c.header["Attempt-Id"], c.host.name, last, versions)
 				a = c.send()
-				e.record.line("answered  %s %d, whole %v", a.id, a.status, a.complete)
 				mu.Lock()
 				takenUp++
 				mu.Unlock()
--- a/review/standin/regress.go
+++ b/review/standin/regress.go
@@ -66,7 +66,6 @@
 				if a.status == 200 {
 					_, _ = fmt.Sscan(a.body, &service)
 				}
-				e.record.line("answered  %s at %s: %d by %q, sent %v before", a.id, c.host.name, a.status, service, time.Since(sent).Round(time.Millisecond))
 				if service != "" {
 					mu.Lock()
 					all = append(all, seen{sent, time.Now(), service})
--- a/review/standin/takeup.go
+++ b/review/standin/takeup.go
@@ -52,9 +52,8 @@
 			c := streamCall(e.hosts[0], n, 8*time.Second)
 			first, last := c.header["Attempt-Id"], 0
 			c.onEvent = func(id int, _ string) { last = id }
-			e.record.line("sent      %s to %s", first, c.host.name)
 			a := c.send()
-			e.record.line("answered  %s %d, %d events, whole %v, %v", a.id, a.status, last, a.complete, a.err)
+			e.record.line("got       %s: %d events", a.id, last)
 			if a.complete || last == 0 {
 				return
 			}
@@ -72,7 +71,7 @@
 				c.onEvent = func(id int, _ string) { more, last = more+1, id }
 				e.record.line("taken up  %s as %s at %s after event %d", first, c.header["Attempt-Id"], c.host.name, last)
 				a = c.send()
-				e.record.line("answered  %s %d, %d events more, whole %v, retry after %q", a.id, a.status, more, a.complete, a.header.Get("Retry-After"))
+				e.record.line("got       %s: %d events more, Retry-After %q", a.id, more, a.header.Get("Retry-After"))
 				if more > 0 {
 					mu.Lock()
 					wentOn++
