A stream of unknown origin goes on only if the store, read after the request arrived, shows one software version

Callers got 200 and a whole body. Cause: findOrigin took a stream of unknown origin for one of the only version that the host knew, while its proof of the store's state was up to 3 s old. Another host may have begun the stream at a version that registered since. The bound of config_apply_ms suits rules that grant that time; this one grants none. The notices that would have told it were cut; no origin was learnt wrongly.

--- /dev/null
+++ b/internal/fpcoalesce/caller_test.go
@@ -0,0 +1,75 @@
+package fpcoalesce
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+var errFailed = errors.New("failed")
+
+// TestCaller lets five goroutines call at times while calls take a second.
+func TestCaller(t *testing.T) {
+	const second = time.Second
+	tests := map[string]struct {
+		at      []time.Duration
+		results []error
+		// want holds the number of the call that each result came from, and end when it came.
+		want []int
+		end  []time.Duration
+	}{
+		"alone":                        {[]time.Duration{0}, []error{nil}, []int{1}, []time.Duration{second}},
+		"one after the other":          {[]time.Duration{0, 2 * second}, []error{nil, nil}, []int{1, 2}, []time.Duration{second, 3 * second}},
+		"late ones share the next":     {[]time.Duration{0, second / 4, second / 2}, []error{nil, nil}, []int{1, 2, 2}, []time.Duration{second, 2 * second, 2 * second}},
+		"a failure ends those waiting": {[]time.Duration{0, second / 4, 2 * second}, []error{errFailed, nil}, []int{0, 0, 2}, []time.Duration{second, second, 3 * second}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				start, calls := time.Now(), 0
+				c := Caller[int]{Func: func() (int, error) {
+					calls++
+					n := calls
+					time.Sleep(second)
+					return n, tt.results[n-1]
+				}}
+				got, ends := make([]int, len(tt.at)), make([]time.Duration, len(tt.at))
+				for i, at := range tt.at {
+					go func() {
+						time.Sleep(at)
+						if v, err := c.Do(context.Background()); err == nil {
+							got[i] = v
+						}
+						ends[i] = time.Since(start)
+					}()
+				}
+				time.Sleep(10 * second)
+				is.Equal(got, tt.want)
+				is.Equal(ends, tt.end)
+			})
+		})
+	}
+}
+
+// TestCallerLeaves ends the context of one caller; the call goes on for another one.
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := Caller[int]{Func: func() (int, error) { time.Sleep(time.Second); return 7, nil }}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second/2)
+		defer cancel()
+		go func() {
+			v, err := c.Do(context.Background())
+			is.NoErr(err)
+			is.Equal(v, 7)
+		}()
+		_, err := c.Do(ctx)
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		time.Sleep(3 * time.Second)
+	})
+}
--- a/internal/fpgateway/builds.go
+++ b/internal/fpgateway/builds.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/url"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpstore"
@@ -46,14 +47,22 @@
 	return buildKeyPrefix + hex.EncodeToString(sum[:])
 }
 
+func isBuildKey(key string) bool { return strings.HasPrefix(key, buildKeyPrefix) }
+
+func unmarshalOrigin(value []byte) (fporigin.Origin, error) {
+	var o fporigin.Origin
+	err := json.Unmarshal(value, &o)
+	return o, err
+}
+
 // applyBuildEntry applies a change of a software version's entry.
 func (c *controlState) applyBuildEntry(i fpstore.Item) {
 	if i.Deleted {
 		delete(c.builds.stored, i.Key)
 		return
 	}
-	var o fporigin.Origin
-	if err := json.Unmarshal(i.Value, &o); err != nil {
+	o, err := unmarshalOrigin(i.Value)
+	if err != nil {
 		c.gateway.log("entry ignored", "Key", i.Key, "Revision", i.Revision, "Error", err.Error())
 		return
 	}
--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -63,7 +63,7 @@
 	g := q.gateway
 	for {
 		q.snapshot = g.snapshot.Load()
-		if !q.maySend() || !q.settleBuild() {
+		if !q.maySend() || !q.settleBuild(ctx) {
 			return
 		}
 		if q.sends >= maxSends || len(q.triedReplicas) >= maxReplicasTried || q.runs >= q.route.MaxAttempts {
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/oklog/run"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
+	"github.com/fescuepoint/fescuepoint/internal/fpcoalesce"
 	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/internal/fpfeed"
 	"github.com/fescuepoint/fescuepoint/internal/fplog"
@@ -94,6 +95,8 @@
 		quarantine     *quarantine
 		// origins holds at which software version each stream began.
 		origins *fporigin.Table
+		// currentBuilds reads the software versions in service from the store.
+		currentBuilds fpcoalesce.Caller[map[string][]string]
 		// unsentOrigins are those that the other hosts are told of next.
 		unsentOrigins []fporigin.Entry
 		// forwardsPausedUntil holds until when a host gets no forwarded request.
@@ -129,6 +132,7 @@
 		limitsAnnouncedAt:   make(map[string]time.Duration),
 		forwardsPausedUntil: make(map[string]time.Duration),
 	}
+	g.currentBuilds.Func = g.readBuilds
 	g.pool = fpconn.NewPool(p.Clock, func(string) { g.metrics.AddToCounter("upstream_connections", 1) })
 	if p.Dial != nil {
 		g.pool.SetDialer(p.Dial)
--- a/internal/fpgateway/origin.go
+++ b/internal/fpgateway/origin.go
@@ -54,14 +54,16 @@
 
 // settleBuild finds the software version at which a stream has to go on that the caller takes up, and ends
 // the request if it can't go on.
-func (q *request) settleBuild() bool {
+func (q *request) settleBuild(ctx context.Context) bool {
 	g := q.gateway
 	if !q.buildKnown && q.isTakeUp() {
-		if q.build, q.buildKnown = q.findOrigin(); !q.buildKnown {
+		build, err := q.findOrigin(ctx)
+		if err != nil {
 			g.metrics.AddToCounter("take_ups_refused_origin_unknown", 1)
-			q.failRequest("it is not known which software version began the stream", q.retryAfter())
+			q.failRequest("it is not known which software version began the stream: "+err.Error(), q.retryAfter())
 			return false
 		}
+		q.build, q.buildKnown = build, true
 	}
 	if q.buildKnown && !slices.ContainsFunc(q.snapshot.replicasByService[q.service.Name], q.maySendTo) {
 		g.metrics.AddToCounter("take_ups_refused_build_gone", 1)
@@ -71,21 +73,28 @@
 	return true
 }
 
-// findOrigin returns the software version that began the stream. An unknown one is clear only while the
-// service has a single one, as far as a recent answer of the store shows.
-func (q *request) findOrigin() (string, bool) {
+// findOrigin returns the software version that began the stream. An unknown one is clear only if the store,
+// asked after the request arrived, shows a single one: any host may have begun the stream, also at a replica
+// that this host has not heard of.
+func (q *request) findOrigin(ctx context.Context) (string, error) {
 	g := q.gateway
 	g.mu.Lock()
 	o, known := g.origins.Use(q.streamID(), g.clock())
 	g.mu.Unlock()
 	if known {
-		return o.Build, true
+		return o.Build, nil
 	}
-	builds := q.snapshot.builds[q.service.Name]
-	if len(builds) == 1 && q.snapshot.proof.AllowsDenial(g.settings().Freshness, g.clock()) {
-		return builds[0], true
+	if len(q.snapshot.builds[q.service.Name]) > 1 {
+		return "", errSeveralBuilds
 	}
-	return "", false
+	builds, err := g.currentBuilds.Do(ctx)
+	if err != nil {
+		return "", err
+	}
+	if len(builds[q.service.Name]) != 1 {
+		return "", errSeveralBuilds
+	}
+	return builds[q.service.Name][0], nil
 }
 
 func (q *request) maySendTo(r fpbalance.Replica) bool { return !q.buildKnown || r.Build == q.build }
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -55,7 +55,11 @@
 		// learnt it.
 		incarnation      int64
 		incarnationSince time.Duration
-		builds           *buildSet
+		// restoredAt is when the store was seen to be restored from a copy, 0 for never.
+		restoredAt time.Duration
+		// position is that of the last update in the state.
+		position fpstore.Position
+		builds   *buildSet
 	}
 
 	// hostEntry is a host's entry in the store; the address is nil when the host receives no
@@ -101,6 +105,8 @@
 		// incarnation is the store's, which this host has known since incarnationSince.
 		incarnation      int64
 		incarnationSince time.Duration
+		restoredAt       time.Duration
+		position         fpstore.Position
 	}
 )
 
@@ -145,6 +151,7 @@
 	for _, i := range u.Items {
 		c.applyItem(i, now, u.Complete, &listed)
 	}
+	c.position = u.Position
 	switch {
 	case restored:
 		c.fleet.RestoreAll(listed, now)
@@ -173,6 +180,9 @@
 			"ProofAge", c.gateway.formatProofAge(now))
 	}
 	c.incarnation, c.incarnationSince = p.Incarnation, now
+	if known {
+		c.restoredAt = now
+	}
 	c.gateway.metrics.SetGauge("store_incarnation", float64(p.Incarnation))
 	return known
 }
@@ -228,7 +238,7 @@
 		c.gateway.applyQuarantineEntry(id, i)
 		return
 	}
-	if strings.HasPrefix(i.Key, buildKeyPrefix) {
+	if isBuildKey(i.Key) {
 		c.applyBuildEntry(i)
 		return
 	}
@@ -344,6 +354,8 @@
 		storeUnreachable: c.storeUnreachable,
 		incarnation:      c.incarnation,
 		incarnationSince: c.incarnationSince,
+		restoredAt:       c.restoredAt,
+		position:         c.position,
 	}
 	s.cacheStores = c.cacheStores()
 	s.hostCount = len(c.hosts)
