What replicas state of their weights decides, not an inference nor the highest version ever seen

Cause: a 421 for the weights was recorded as the newest version, as a maximum. The replica had loaded the version before, by an order of the holder that was killed. No statement and no registration lowered the record, so no order was planned. Evidence: seven orders and loads of version 3 in the hosts' lines, none for the two replicas and no failed one; all hosts log "421 not run" for these. TestReplicaLeftOnReplacedWeights failed in its three cases. Change: pkg/fpweights keeps the last statement of each replica with its possible age; a lower version counts once it is certainly later, a registration instead of a statement 6 s older. After a 421 that names no weights the host reads the report, and sends the replica nothing meanwhile, 0.7 s at most. Rejections name the weights in the log's Trail. Tests of fpgateway, pkg and platform passed.

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -275,7 +275,7 @@
 	q.recordIntake(c, a, reply)
 	// After another answer, a rejection without an ID may be a late one of the request before.
 	if reply.NotRun && (reply.ID == q.caller.ID || a.FirstOnConnection) {
-		return q.handleNotRun(c, a, reply)
+		return q.handleNotRun(ctx, c, a, reply)
 	}
 	q.runs++
 	q.ledger.MarkDispatched()
@@ -350,15 +350,17 @@
 		g.balancer.RecordLoadReport(c.Replica.ID, r.Running, r.Waiting, g.clock())
 		g.mu.Unlock()
 	}
-	if r.Version > c.Replica.Version && !r.NotRun {
-		g.enqueueControl(func(k *controlState) { k.recordReplicaVersion(c.Replica.ID, r.Version, 0) })
-	}
+	g.recordAnsweredWeights(c.Replica, r)
 }
 
 // handleNotRun handles an answer that says that the replica did not run the request.
-func (q *request) handleNotRun(c fpbalance.Choice, a *fpconn.Response, r Reply) attemptResult {
+func (q *request) handleNotRun(ctx context.Context, c fpbalance.Choice, a *fpconn.Response, r Reply) attemptResult {
 	g := q.gateway
-	q.appendTrail("%s %d not run", c.Replica.ID, a.Status)
+	if r.Version > 0 {
+		q.appendTrail("%s %d not run, weights %d instead of %d", c.Replica.ID, a.Status, r.Version, c.Replica.Version)
+	} else {
+		q.appendTrail("%s %d not run", c.Replica.ID, a.Status)
+	}
 	q.endTrial()
 	a.MarkRefused()
 	if err := a.Discard(maxNotRunBodyBytes, notRunBodyTimeout); err != nil {
@@ -375,13 +377,12 @@
 			g.log("address serves another replica", "RequestID", q.caller.ID, "Replica", c.Replica.ID, "Found", r.Replica)
 			g.sendNotice(q.snapshot.allPeers, fpnotice.Notice{Gone: &fpnotice.ReplicaReplaced{Replica: c.Replica.ID}})
 		}
-	case a.Status == http.StatusMisdirectedRequest && c.Replica.Engine && newest > c.Replica.Version:
-		// The replica has newer weights than recorded, most likely the newest.
-		g.enqueueControl(func(k *controlState) { k.recordReplicaVersion(c.Replica.ID, newest, 0) })
+	case a.Status == http.StatusMisdirectedRequest && c.Replica.Engine:
+		if r.Version <= 0 {
+			q.askWeights(ctx, c.Replica)
+		}
 	case c.Replica.Engine && newest > c.Replica.Version:
-		g.enqueueControl(func(k *controlState) {
-			k.recordReplicaVersion(c.Replica.ID, c.Replica.Version, now+assumedWeightsLoadTime)
-		})
+		g.enqueueControl(func(k *controlState) { k.recordLoading(c.Replica.ID, now+assumedWeightsLoadTime) })
 	}
 	return tryAnotherReplica
 }
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -101,6 +101,8 @@
 		unsentOrigins []fporigin.Entry
 		// forwardsPausedUntil holds until when a host gets no forwarded request.
 		forwardsPausedUntil map[string]time.Duration
+		// weightsAsked holds the replicas whose weights are being asked for.
+		weightsAsked map[string]bool
 		// limitsAnnouncedAt holds when a replica's limit was last told to all hosts.
 		limitsAnnouncedAt map[string]time.Duration
 	}
@@ -130,6 +132,7 @@
 		origins:        fporigin.NewTable(maxOrigins, originRetention(nil)),
 
 		limitsAnnouncedAt:   make(map[string]time.Duration),
+		weightsAsked:        make(map[string]bool),
 		forwardsPausedUntil: make(map[string]time.Duration),
 	}
 	g.currentBuilds.Func = g.readBuilds
--- a/internal/fpgateway/origin.go
+++ b/internal/fpgateway/origin.go
@@ -124,11 +124,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, startCheckTimeout)
 	defer cancel()
-	status, body, err := g.callReplica(ctx, q.snapshot.registered[i], g.dialect.ReportCall(r.Address, r.ID))
-	if err != nil {
-		return false
-	}
-	report, err := g.dialect.DecodeReport(status, body)
+	report, err := g.fetchReport(ctx, q.snapshot.registered[i])
 	return err == nil && report.StartUnixMilli != 0 && report.StartUnixMilli != q.snapshot.registered[i].StartUnixMilli
 }
 
--- a/internal/fpgateway/peers.go
+++ b/internal/fpgateway/peers.go
@@ -67,7 +67,7 @@
 		g.sendNotice(g.snapshot.Load().nearPeers, n)
 	}
 	if w := n.Weights; w != nil {
-		g.enqueueControl(func(c *controlState) { c.recordReplicaVersion(w.Replica, w.Version, g.deadlineIn(w.LoadingMs)) })
+		g.recordReport(w.Replica, w.Version, g.deadlineIn(w.LoadingMs))
 	}
 	if w := n.Work; w != nil {
 		g.handleWorkNotice(w)
@@ -206,18 +206,6 @@
 	q.gateway.sendNear(q.snapshot, q.caller.ID, fpnotice.Notice{Work: w})
 }
 
-// announceWeights records a replica's weights version on this host and notifies all others of
-// it.
-func (g *Gateway) announceWeights(id string, version int64, loading time.Duration) {
-	until := time.Duration(0)
-	if loading > 0 {
-		until = g.clock() + loading
-	}
-	g.enqueueControl(func(c *controlState) { c.recordReplicaVersion(id, version, until) })
-	w := &fpnotice.WeightsChange{Replica: id, Version: version, LoadingMs: int(loading.Milliseconds())}
-	g.sendNotice(g.snapshot.Load().allPeers, fpnotice.Notice{Weights: w})
-}
-
 // encodeHostEntry returns this host's entry in the store: the address for notices and peer
 // reads, the region and the availability zone.
 func (s Settings) encodeHostEntry() string {
--- a/internal/fpgateway/rollout.go
+++ b/internal/fpgateway/rollout.go
@@ -282,7 +282,10 @@
 			continue
 		}
 		outstanding[f.ID] = g.balancer.OutstandingRequests(f.ID, g.clock())
-		version[f.ID] = max(routedVersions[f.ID], f.Weights[model])
+		version[f.ID] = f.Weights[model]
+		if v, routed := routedVersions[f.ID]; routed {
+			version[f.ID] = v
+		}
 		r.mu.Lock()
 		loading := r.loadingReplicas[f.ID]
 		r.mu.Unlock()
@@ -331,7 +334,7 @@
 	started := g.clock()
 	lastOrder, orders := -orderRetryInterval, 0
 	for g.clock()-started < maxWeightsLoadTime {
-		report, err := r.fetchReport(ctx, u)
+		report, err := g.fetchReport(ctx, u.replica)
 		now := g.clock()
 		switch {
 		case err != nil:
@@ -387,9 +390,9 @@
 	}
 }
 
-func (r *rollout) fetchReport(ctx context.Context, u weightsUpdate) (Report, error) {
-	g := r.gateway
-	status, body, err := g.callReplica(ctx, u.replica, g.dialect.ReportCall(u.replica.Address, u.replica.ID))
+// fetchReport reads a replica's status report.
+func (g *Gateway) fetchReport(ctx context.Context, r fpfleet.Replica) (Report, error) {
+	status, body, err := g.callReplica(ctx, r, g.dialect.ReportCall(r.Address, r.ID))
 	if err != nil {
 		return Report{}, err
 	}
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -15,6 +15,7 @@
 	"github.com/fescuepoint/fescuepoint/pkg/fpfleet"
 	"github.com/fescuepoint/fescuepoint/pkg/fpfresh"
 	"github.com/fescuepoint/fescuepoint/pkg/fporigin"
+	"github.com/fescuepoint/fescuepoint/pkg/fpweights"
 )
 
 const (
@@ -40,11 +41,13 @@
 		hosts       map[string]hostEntry
 		// unlistedUntil holds the time until which a host is kept that a restored store did not list.
 		unlistedUntil map[string]time.Duration
-		// reportedVersions holds the weights versions that replicas reported, by replica ID.
-		reportedVersions map[string]int64
+		// weights holds what replicas stated of their weights.
+		weights fpweights.Table
 		// loadingUntil holds the time until which a replica is assumed to be loading weights.
 		loadingUntil     map[string]time.Duration
 		storeUnreachable bool
+		// writableSince is when the store was back after it was last out of reach.
+		writableSince time.Duration
 		// proof is the freshness proof of the state; both are updated together.
 		proof fpfresh.Proof
 		// orderLeaseHolder is the holder of the order lease according to the store, "" for none.
@@ -112,15 +115,15 @@
 
 func newControlState(g *Gateway) *controlState {
 	return &controlState{
-		gateway:          g,
-		fleet:            fpfleet.New(),
-		startTimes:       make(map[string]int64),
-		published:        newPublications(),
-		hosts:            make(map[string]hostEntry),
-		unlistedUntil:    make(map[string]time.Duration),
-		reportedVersions: make(map[string]int64),
-		loadingUntil:     make(map[string]time.Duration),
-		builds:           newBuildSet(),
+		gateway:       g,
+		fleet:         fpfleet.New(),
+		startTimes:    make(map[string]int64),
+		published:     newPublications(),
+		hosts:         make(map[string]hostEntry),
+		unlistedUntil: make(map[string]time.Duration),
+		weights:       make(fpweights.Table),
+		loadingUntil:  make(map[string]time.Duration),
+		builds:        newBuildSet(),
 	}
 }
 
@@ -221,6 +224,7 @@
 func (c *controlState) markStoreReachable(now time.Duration) {
 	if c.storeUnreachable {
 		c.storeUnreachable = false
+		c.writableSince = now
 		c.fleet.MarkStoreReachable(now)
 		c.gateway.log("store reachable again", "ProofAge", c.gateway.formatProofAge(now))
 	}
@@ -261,9 +265,9 @@
 		c.applyCatalog(decoded.Catalog, i.Revision)
 	case decoded.Replica != nil && complete:
 		*listed = append(*listed, *decoded.Replica)
-		c.recordRegistration(decoded.Replica)
+		c.recordRegistration(decoded.Replica, now)
 	case decoded.Replica != nil:
-		c.recordRegistration(decoded.Replica)
+		c.recordRegistration(decoded.Replica, now)
 		c.fleet.Put(*decoded.Replica)
 	case decoded.RemovedReplica != "":
 		c.gateway.log("replica entry deleted", "Replica", decoded.RemovedReplica, "Revision", i.Revision, "StoreAway", c.storeUnreachable)
@@ -312,9 +316,9 @@
 }
 
 // recordRegistration records a replica's registration and detects a restart under the same ID.
-func (c *controlState) recordRegistration(r *fpfleet.Replica) {
+func (c *controlState) recordRegistration(r *fpfleet.Replica, now time.Duration) {
 	if startTime, ok := c.startTimes[r.ID]; ok && startTime != r.StartUnixMilli {
-		delete(c.reportedVersions, r.ID)
+		c.weights.Forget(r.ID)
 		delete(c.loadingUntil, r.ID)
 		c.gateway.forgetRestartedReplica(*r)
 		c.gateway.log("replica restarted", "Replica", r.ID, "Revision", r.Revision)
@@ -325,17 +329,9 @@
 		c.gateway.log("replica draining", "Replica", r.ID, "Revision", r.Revision)
 	}
 	c.startTimes[r.ID] = r.StartUnixMilli
-}
-
-// recordReplicaVersion records a replica's weights version and the time until which it loads
-// weights, 0 when it does not load any.
-func (c *controlState) recordReplicaVersion(id string, version int64, loadingUntil time.Duration) {
-	c.reportedVersions[id] = max(c.reportedVersions[id], version)
-	if loadingUntil == 0 {
-		delete(c.loadingUntil, id)
-		return
+	if len(r.Weights) > 0 {
+		c.recordWeights(r.ID, fpweights.Statement{Version: registeredWeights(*r), At: now, Lag: fpweights.EntryLag})
 	}
-	c.loadingUntil[id] = loadingUntil
 }
 
 // buildSnapshot returns a snapshot of the current state.
@@ -406,7 +402,7 @@
 	for id := range c.startTimes {
 		if !listed[id] {
 			delete(c.startTimes, id)
-			delete(c.reportedVersions, id)
+			c.weights.Forget(id)
 			delete(c.loadingUntil, id)
 			c.gateway.forgetReplica(id)
 		}
@@ -441,12 +437,6 @@
 		Build:   r.Build,
 		Loading: now < c.loadingUntil[r.ID],
 	}
-	for _, v := range r.Weights {
-		m.Engine = true
-		m.Version = max(m.Version, v)
-	}
-	if m.Engine {
-		m.Version = max(m.Version, c.reportedVersions[r.ID])
-	}
+	m.Version, m.Engine = c.weightsOf(r, now)
 	return m
 }
