A resumable stream begins only at the registered start of its replica

Callers held streams of two software versions. Cause: a stream's origin was the software version in the registration of its replica, which may be that of a former start: a replica that restarts under its ID registers a second or so later. Its streams went on elsewhere at the former version. Evidence: the soak, which now releases software versions, restarts engines in place and lets callers take streams up. Change: before the first event of a resumable stream is forwarded, its connection is known to lead to the registered start: that start answered after the connection was opened, at another connection or in a report. Another start: the stream begins elsewhere. No report: it begins with an origin that allows no take-up. A replica at which a stream goes on has to confirm its start. The soak plays upgrades too (--former): from to this build and back.

--- a/cmd/fescuesoak/main.go
+++ b/cmd/fescuesoak/main.go
@@ -16,6 +16,7 @@
 
 type arguments struct {
 	Daemon  string        `help:"The daemon's program." default:"bin/fescuepointd" type:"path"`
+	Former  string        `help:"The daemon's program that hosts start with, to play an upgrade." type:"path"`
 	Folder  string        `help:"Folder for settings and logs, with a subfolder for each seed." default:"run/soak" type:"path"`
 	First   uint64        `help:"First seed; 0 derives one from the clock." default:"1"`
 	Seeds   int           `help:"Number of seeds." default:"1"`
@@ -72,7 +73,7 @@
 		return false
 	}
 	r, err := fpsoak.Run(context.Background(), fpsoak.Options{
-		Seed: seed, DaemonPath: a.Daemon, Folder: folder, Hosts: a.Hosts, Callers: a.Callers, FaultDuration: a.Faults,
+		Seed: seed, DaemonPath: a.Daemon, FormerDaemonPath: a.Former, Folder: folder, Hosts: a.Hosts, Callers: a.Callers, FaultDuration: a.Faults,
 	})
 	if err != nil {
 		fmt.Printf("seed %d: %v\n", seed, err)
--- a/internal/fpconn/conn.go
+++ b/internal/fpconn/conn.go
@@ -31,6 +31,9 @@
 		expiresAt          time.Duration
 		completedExchanges int
 		connectTime        time.Duration
+		openedAt           time.Duration
+		// peer is what [Response.SetPeer] set.
+		peer int64
 		// readable is the number of bytes that may still be read from the connection.
 		readable int64
 		// refusedKeys are hashes of the keys of calls that were refused on the connection.
--- a/internal/fpconn/exchange.go
+++ b/internal/fpconn/exchange.go
@@ -202,6 +202,15 @@
 	return n, nil
 }
 
+// OpenedAt returns when the connection was opened, on the pool's clock.
+func (r *Response) OpenedAt() time.Duration { return r.conn.openedAt }
+
+// SetPeer records who answers on the connection, for later calls on it.
+func (r *Response) SetPeer(peer int64) { r.conn.peer = peer }
+
+// Peer returns what was recorded with SetPeer, 0 for nothing.
+func (r *Response) Peer() int64 { return r.conn.peer }
+
 // Close ends the exchange. The connection returns to the pool if the body was
 // read completely and the connection is reusable; otherwise it is closed.
 func (r *Response) Close() {
--- a/internal/fpconn/pool.go
+++ b/internal/fpconn/pool.go
@@ -98,7 +98,8 @@
 		p.onOpen(address)
 	}
 	n := newConn(c, address)
-	n.connectTime = p.clock() - began
+	n.openedAt = p.clock()
+	n.connectTime = n.openedAt - began
 	return n, nil
 }
 
--- a/internal/fpgateway/build_test.go
+++ b/internal/fpgateway/build_test.go
@@ -307,6 +307,38 @@
 	is.Equal(wentOn, len(streams))
 }
 
+// TestStreamBegunAtRestartedReplica restarts a replica under its ID with another software version, of which the store
+// does not tell yet. Streams begin, the replica ends again, and callers take the streams up at the one that is left.
+func TestStreamBegunAtRestartedReplica(t *testing.T) {
+	is := is.New(t)
+	b := &buildTest{testCluster: prepareTestCluster(t)}
+	for _, e := range b.engines {
+		e.Software, e.StreamEvents = "v1", 5
+		e.SetEventDelay(10 * time.Millisecond)
+		b.store.Put("servers/"+e.ID, e.Registration("ready"))
+	}
+	b.store.Put("op/config", configDocument(1))
+	other, _ := b.addHost(func(*fpgateway.Settings) {})
+	b.other, b.takenUpAt = other, other
+	_ = b.beginStreams() // opens connections
+	b.engines[0].RestartAs("v2")
+	streams := b.beginStreams()
+	b.engines[0].Crash()
+	joinedCount, wentOn := 0, 0
+	for _, s := range streams {
+		text, status := b.takeUp(s, "")
+		if joined(text) {
+			joinedCount++
+		}
+		if status == http.StatusOK {
+			wentOn++
+		}
+	}
+	t.Logf("of %d streams %d went on, %d were joined", len(streams), wentOn, joinedCount)
+	is.Equal(joinedCount, 0)
+	is.Equal(wentOn, len(streams))
+}
+
 // TestStreamJoinedAtHostOutOfStep cuts a host off from the store and the other host while replicas of a second
 // software version join, and takes up at it streams that began there. No text may hold events of both.
 func TestStreamJoinedAtHostOutOfStep(t *testing.T) {
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -101,6 +101,8 @@
 		unsentOrigins []fporigin.Entry
 		// forwardsPausedUntil holds until when a host gets no forwarded request.
 		forwardsPausedUntil map[string]time.Duration
+		// seenStarts holds the last proof of which start of a replica answers, by ID.
+		seenStarts map[string]seenStart
 		// weightsAsked holds the replicas whose weights are being asked for.
 		weightsAsked map[string]bool
 		// limitsAnnouncedAt holds when a replica's limit was last told to all hosts.
@@ -133,6 +135,7 @@
 
 		limitsAnnouncedAt:   make(map[string]time.Duration),
 		weightsAsked:        make(map[string]bool),
+		seenStarts:          make(map[string]seenStart),
 		forwardsPausedUntil: make(map[string]time.Duration),
 	}
 	g.currentBuilds.Func = g.readBuilds
--- a/internal/fpgateway/log.go
+++ b/internal/fpgateway/log.go
@@ -102,4 +102,5 @@
 	defer g.mu.Unlock()
 	g.balancer.ForgetReplica(id)
 	delete(g.limitsAnnouncedAt, id)
+	delete(g.seenStarts, id)
 }
--- a/internal/fpgateway/origin.go
+++ b/internal/fpgateway/origin.go
@@ -7,7 +7,6 @@
 
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
 	"github.com/fescuepoint/fescuepoint/pkg/fpcatalog"
-	"github.com/fescuepoint/fescuepoint/pkg/fpfleet"
 	"github.com/fescuepoint/fescuepoint/pkg/fporigin"
 )
 
@@ -21,8 +20,6 @@
 	minBuildRetention = 30 * time.Second
 	// maxBuildRetention bounds the same; the store's leases are no longer than ten minutes.
 	maxBuildRetention = 6 * time.Minute
-	// startCheckTimeout bounds the question whether a replica is the one that is registered.
-	startCheckTimeout = 250 * time.Millisecond
 )
 
 // buildRetention returns how long a stream may be taken up after the last replica of its software version
@@ -114,20 +111,6 @@
 	return out
 }
 
-// hasRestarted reports whether a replica says that it has started anew since its registration that this
-// host knows, maybe at another software version.
-func (q *request) hasRestarted(ctx context.Context, r fpbalance.Replica) bool {
-	g := q.gateway
-	i := slices.IndexFunc(q.snapshot.registered, func(f fpfleet.Replica) bool { return f.ID == r.ID })
-	if i < 0 || q.snapshot.registered[i].StartUnixMilli == 0 {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, startCheckTimeout)
-	defer cancel()
-	report, err := g.fetchReport(ctx, q.snapshot.registered[i])
-	return err == nil && report.StartUnixMilli != 0 && report.StartUnixMilli != q.snapshot.registered[i].StartUnixMilli
-}
-
 // recordOrigin records the software version of a stream, before its first event is forwarded.
 func (q *request) recordOrigin(build string) {
 	if q.isTakeUp() {
@@ -160,7 +143,7 @@
 		}
 		e := fporigin.Entry{Origin: o, ID: id, Host: g.settings().Host}
 		g.origins.Record(e, g.clock())
-		if several && len(g.unsentOrigins) < maxUnsentOrigins {
+		if (several || o.Build == unknownBuild) && len(g.unsentOrigins) < maxUnsentOrigins {
 			g.unsentOrigins = append(g.unsentOrigins, e)
 		}
 	}
--- a/internal/fpgateway/relay.go
+++ b/internal/fpgateway/relay.go
@@ -146,6 +146,17 @@
 			}
 			return q.handleIncompleteAnswer(ctx, c, err)
 		}
+		if onFirstByte != nil && q.route.Repeatable() {
+			switch q.confirmStart(ctx, c.Replica, a) {
+			case startReplaced:
+				return q.handleIncompleteAnswer(ctx, c, errRestarted)
+			case startUnknown:
+				if q.buildKnown {
+					return q.handleIncompleteAnswer(ctx, c, errRestarted)
+				}
+				c.Replica.Build = unknownBuild
+			}
+		}
 		if !part.accept(&q.stream, event) {
 			return q.handleForeignAnswer(ctx, c, errNotResumed)
 		}
--- /dev/null
+++ b/internal/fpgateway/start.go
@@ -0,0 +1,104 @@
+package fpgateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpconn"
+	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
+	"github.com/fescuepoint/fescuepoint/pkg/fpfleet"
+)
+
+const (
+	// startCheckTimeout bounds the question whether a replica is the one that is registered.
+	startCheckTimeout = 400 * time.Millisecond
+	// restartedPause is how long a replica gets no requests that has restarted, as far as its registration does not
+	// tell it.
+	restartedPause = 500 * time.Millisecond
+	// unknownBuild stands for the software version of a stream at a replica that may have restarted. No replica
+	// registers with it.
+	unknownBuild = "?"
+)
+
+const (
+	// startConfirmed means that the registered start of a replica answers, startReplaced that another one does.
+	startConfirmed startState = iota + 1
+	startReplaced
+	startUnknown
+)
+
+var errRestarted = errors.New("the replica has restarted since its registration")
+
+type (
+	startState int
+
+	// seenStart is the start of a replica, in Unix milliseconds, that was seen to answer at or after a time.
+	seenStart struct {
+		startUnixMilli int64
+		at             time.Duration
+	}
+)
+
+// confirmStart tells whether the answer comes from the registered start of the replica, whose software version is
+// known. A connection ends with the process that accepted it, so that it needs one proof: that start was seen to
+// answer after the connection was opened.
+func (q *request) confirmStart(ctx context.Context, r fpbalance.Replica, a *fpconn.Response) startState {
+	g := q.gateway
+	switch {
+	case r.StartUnixMilli == 0:
+		return startConfirmed
+	case a.Peer() == r.StartUnixMilli:
+		g.recordStart(r.ID, seenStart{r.StartUnixMilli, q.sentAt})
+		return startConfirmed
+	case a.Peer() != 0:
+		return startReplaced
+	}
+	g.mu.Lock()
+	seen := g.seenStarts[r.ID]
+	g.mu.Unlock()
+	state := startConfirmed
+	if seen.startUnixMilli != r.StartUnixMilli || seen.at < a.OpenedAt() {
+		state = q.askStart(ctx, r)
+	}
+	if state == startConfirmed {
+		a.SetPeer(r.StartUnixMilli)
+	}
+	return state
+}
+
+// askStart asks a replica for its start.
+func (q *request) askStart(ctx context.Context, r fpbalance.Replica) startState {
+	g := q.gateway
+	i := slices.IndexFunc(q.snapshot.registered, func(f fpfleet.Replica) bool { return f.ID == r.ID })
+	if i < 0 || r.StartUnixMilli == 0 {
+		return startConfirmed
+	}
+	ctx, cancel := context.WithTimeout(ctx, startCheckTimeout)
+	defer cancel()
+	asked := g.clock()
+	g.metrics.AddToCounter("replica_start_reads", 1)
+	report, err := g.fetchReport(ctx, q.snapshot.registered[i])
+	switch {
+	case err != nil:
+		q.appendTrail("%s start not read: %v", r.ID, err)
+		return startUnknown
+	case report.StartUnixMilli != 0 && report.StartUnixMilli != r.StartUnixMilli:
+		g.log("replica restarted before its registration", "RequestID", q.caller.ID, "Replica", r.ID, "Start", report.StartUnixMilli, "Registered", r.StartUnixMilli)
+		g.pauseReplica(r.ID, r.StartUnixMilli, restartedPause)
+		return startReplaced
+	}
+	g.recordStart(r.ID, seenStart{r.StartUnixMilli, asked})
+	return startConfirmed
+}
+
+// recordStart records that a start of a replica was seen to answer.
+func (g *Gateway) recordStart(id string, s seenStart) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if known := g.seenStarts[id]; known.startUnixMilli != s.startUnixMilli || known.at < s.at {
+		g.seenStarts[id] = s
+	}
+}
