--- /dev/null
+++ b/internal/fpgateway/former_test.go
@@ -0,0 +1,37 @@
+package fpgateway
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpstore"
+	"github.com/fescuepoint/fescuepoint/pkg/fporigin"
+)
+
+// TestStoreEntriesOfFormerBuild reads the entries of hosts, of noted weights and of software versions as the build of
+// 7c711f0 writes them to the store, and checks that this build writes the same.
+func TestStoreEntriesOfFormerBuild(t *testing.T) {
+	is := is.New(t)
+	const host, weights, build = "10.0.0.1:7340 north north-a", `{"Version":3,"Former":2,"RecentMs":9000,"Incarnation":4}`, `{"Service":"s","Build":"v1"}`
+	h, err := decodeHostEntry([]byte(host))
+	is.NoErr(err)
+	is.Equal(h.region, "north")
+	is.Equal(h.zone, "north-a")
+	s := Settings{CallersAddress: "10.0.0.1:80", PeerPort: 7340}
+	s.Place.Region, s.Place.Zone = "north", "north-a"
+	is.Equal(s.encodeHostEntry(), host)
+	var w weightsRecord
+	is.NoErr(json.Unmarshal([]byte(weights), &w))
+	is.Equal(w, weightsRecord{Version: 3, Former: 2, RecentMs: 9000, Incarnation: 4})
+	written, err := json.Marshal(w)
+	is.NoErr(err)
+	is.Equal(string(written), weights)
+	o, ok := decodeBuildEntry(fpstore.Item{Key: "fescuepoint/builds/s/v1", Value: []byte(build)})
+	is.True(ok)
+	is.Equal(o, fporigin.Origin{Service: "s", Build: "v1"})
+	written, err = json.Marshal(o)
+	is.NoErr(err)
+	is.Equal(string(written), build)
+}
