Requests know when a planned stop ends: late ones are refused, the others get a last answer

Seen by operators of similar systems: in a planned stop, requests that came late in the grace were passed on and cut at its end with no answer, among them some that may not be repeated (LOST). Cause, here too: the end of the grace was known to the server alone. A request that was still being read when the listener closed went to a replica however late, with its route's time limit, and its connection was closed at the end. Change: a request for which less than a second, or less than two objectives of its route, is left is refused as not run before each attempt. What is left 0.25 s before the end gets its last answer, 502 if it may have run.

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -87,7 +87,7 @@
 			return
 		}
 		if ctx.Err() != nil {
-			q.failRequest("out of time", q.retryAfter())
+			q.failRequest(endReason(ctx), q.retryAfter())
 			return
 		}
 	}
@@ -99,6 +99,10 @@
 		q.refuseForKey(d)
 		return false
 	}
+	if q.stopsTooSoon() {
+		q.failRequest(errStopping.Error(), minRetryAfter)
+		return false
+	}
 	if id, remaining := q.gateway.findQuarantined(q.quarantineIDs); id != "" {
 		q.failRequest(describeQuarantined(id)+" crashes replicas", remaining)
 		return false
@@ -424,7 +428,7 @@
 		reason += ", and the request is suspected to crash replicas"
 	}
 	if ctx.Err() != nil {
-		reason = "out of time"
+		reason = endReason(ctx)
 	}
 	q.failRequest(reason, 0)
 	return requestDone
--- a/internal/fpgateway/forward.go
+++ b/internal/fpgateway/forward.go
@@ -61,7 +61,7 @@
 		switch {
 		case ctx.Err() != nil && (err == nil || !errors.Is(err, fpconn.ErrNotSent)):
 			q.ledger.MarkDispatched()
-			q.failRequest("out of time", 0)
+			q.failRequest(endReason(ctx), 0)
 			return true
 		case errors.Is(err, fpconn.ErrNotSent):
 			q.appendTrail("%s not reached: %v", host, err)
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -77,8 +77,13 @@
 		snapshot        atomic.Pointer[snapshot]
 		draining        atomic.Bool
 		runningRequests atomic.Int64
-		stopped         chan struct{}
-		noticeSocket    *fpnotice.Socket
+		// stopsAt is when a planned stop ends the requests that are left, in nanoseconds on the clock, 0 without a stop.
+		// The context ending ends then, by endRequests.
+		stopsAt      atomic.Int64
+		ending       context.Context
+		endRequests  context.CancelFunc
+		stopped      chan struct{}
+		noticeSocket *fpnotice.Socket
 		// history holds the recent store updates that other hosts read from this one; peerClient
 		// reads theirs.
 		history    fpfeed.History
@@ -138,6 +143,7 @@
 		seenStarts:          make(map[string]seenStart),
 		forwardsPausedUntil: make(map[string]time.Duration),
 	}
+	g.ending, g.endRequests = context.WithCancel(context.Background())
 	g.currentBuilds.Func = g.readBuilds
 	g.pool = fpconn.NewPool(p.Clock, func(string) { g.metrics.AddToCounter("upstream_connections", 1) })
 	if p.Dial != nil {
--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -122,6 +122,8 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), q.deadline-g.clock())
 	defer cancel()
+	ctx, release := g.withStop(ctx)
+	defer release()
 	if forwardedBy == "" {
 		g.countRequest(q.service.Name)
 	}
--- a/internal/fpgateway/serve.go
+++ b/internal/fpgateway/serve.go
@@ -24,8 +24,17 @@
 	// shutdownMargin is the time kept between the end of the last request and the end of the
 	// grace period.
 	shutdownMargin = 500 * time.Millisecond
+	// lastAnswersMargin is how long before that end the requests that are left get their last answers.
+	lastAnswersMargin = 250 * time.Millisecond
+	// A stopping host passes no request on in the last minTimeBeforeStop, or as many objectives of the route as
+	// objectivesBeforeStop if that is longer.
+	minTimeBeforeStop    = time.Second
+	objectivesBeforeStop = 2
 )
 
+// errStopping ends the requests that are left at the end of a planned stop.
+var errStopping = errors.New("the host stops")
+
 type (
 	// server is an HTTP server with its address.
 	server struct {
@@ -84,18 +93,46 @@
 	return m
 }
 
+// stopsTooSoon reports whether a planned stop of this host leaves too little time for an answer of a replica.
+func (q *request) stopsTooSoon() bool {
+	end := time.Duration(q.gateway.stopsAt.Load())
+	return end != 0 && end-q.gateway.clock() < max(minTimeBeforeStop, objectivesBeforeStop*q.route.Objective)
+}
+
+// withStop returns a context that ends at the end of a planned stop too.
+func (g *Gateway) withStop(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(g.ending, func() { cancel(errStopping) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// endReason returns why the context of a request has ended.
+func endReason(ctx context.Context) string {
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return errStopping.Error()
+	}
+	return "out of time"
+}
+
 // awaitShutdown waits for a planned stop and carries it out: requests are still served until the
 // load balancer has noticed, then connections are closed as they become idle, and running
-// requests may end.
+// requests may end. Those that are left are answered shortly before the end.
 func (g *Gateway) awaitShutdown(ctx, inner context.Context, servers []*server) error {
 	<-ctx.Done()
 	started := g.clock()
+	end := started + g.settings().GracePeriod - shutdownMargin
+	g.stopsAt.Store(int64(end - lastAnswersMargin))
 	g.draining.Store(true)
 	g.log("stopping", "Running", g.runningRequests.Load(), "Grace", g.settings().GracePeriod.String())
 	fpclock.Sleep(inner, g.settings().ShutdownDelay)
-	remaining := g.settings().GracePeriod - (g.clock() - started) - shutdownMargin
-	shutdownCtx, cancel := context.WithTimeout(inner, max(remaining, shutdownMargin))
+	remaining := max(end-g.clock(), shutdownMargin)
+	shutdownCtx, cancel := context.WithTimeout(inner, remaining)
 	defer cancel()
+	lastAnswers := time.AfterFunc(remaining-lastAnswersMargin, g.endRequests)
+	defer lastAnswers.Stop()
 	var shutdowns sync.WaitGroup
 	for _, s := range servers {
 		shutdowns.Go(func() {
