--- a/pkg/fpquarantine/overlap_test.go
+++ b/pkg/fpquarantine/overlap_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 const (
@@ -38,8 +40,10 @@
 		spells   []spell
 		// ends holds when replicas crashed by a deadly part, and sends when requests with it were sent, by ID.
 		ends, sends map[string][]time.Duration
-		requests    int
-		convicted   []string
+		// aboard holds when replicas crashed that ran a request with a deadly part, whatever they crashed by.
+		aboard    map[string][]time.Duration
+		requests  int
+		convicted []string
 	}
 
 	// fleetReplica is a replica with the requests at it; start counts its restarts.
@@ -79,7 +83,7 @@
 func newFleet(seed uint64) *fleet {
 	f := &fleet{
 		tracker: New(), random: rand.New(rand.NewPCG(seed, 2)), replicas: make([]fleetReplica, simulatedReplicas),
-		ends: make(map[string][]time.Duration), sends: make(map[string][]time.Duration),
+		ends: make(map[string][]time.Duration), sends: make(map[string][]time.Duration), aboard: make(map[string][]time.Duration),
 	}
 	for r := range f.replicas {
 		f.replicas[r].running = make(map[int]fleetRequest)
@@ -194,6 +198,13 @@
 	if by != "" {
 		f.ends[by] = append(f.ends[by], f.now)
 	}
+	aboard := make(map[string]bool)
+	for _, q := range broken {
+		if id := f.deadlyID(q.ids); id != "" && !aboard[id] {
+			aboard[id] = true
+			f.aboard[id] = append(f.aboard[id], f.now)
+		}
+	}
 	f.after(reportDelay, func() {
 		for _, q := range broken {
 			f.report(name, q, at)
@@ -293,21 +304,50 @@
 			}
 		}
 		for part, ends := range f.ends {
-			if len(ends) < deadlyCrashes {
-				continue
-			}
-			late := 0
-			for _, at := range f.sends[part] {
-				if at > ends[deadlyCrashes-1]+reactionTime {
-					late++
-				}
-			}
-			if late > maxLateSends {
+			if late := f.lateSends(part, ends); late > maxLateSends {
 				t.Errorf("seed %d, %s: sent %d times later than %v after the fifth crash at %v; %d crashes", seed, part, late, reactionTime, ends[deadlyCrashes-1], len(ends))
 			}
 		}
 	}
 }
 
+// lateSends returns how often a part was sent later than reactionTime after the fifth of its crashes.
+func (f *fleet) lateSends(part string, crashes []time.Duration) int {
+	late := 0
+	for _, at := range f.sends[part] {
+		if len(crashes) >= deadlyCrashes && at > crashes[deadlyCrashes-1]+reactionTime {
+			late++
+		}
+	}
+	return late
+}
+
 // pick returns one of the values.
 func pick[T any](r *rand.Rand, values ...T) T { return values[r.IntN(len(values))] }
+
+// TestOverlappingDeadlyPartsDrawn is TestOverlappingDeadlyParts with drawn fleets, in which the time runs from the
+// fifth crash of a replica that ran a request with the part, whatever it crashed by.
+func TestOverlappingDeadlyPartsDrawn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.Uint64().Draw(t, "seed"))
+		otherCrashes := rapid.SampledFrom([]time.Duration{0, 5 * time.Second, 2 * time.Second}).Draw(t, "time between other crashes")
+		for i := range rapid.IntRange(1, 4).Draw(t, "spells") {
+			from := 2*time.Second + time.Duration(rapid.IntRange(0, 6000).Draw(t, "from"))*time.Millisecond
+			f.spells = append(f.spells, spell{
+				part: fmt.Sprint("dead", i), kind: rapid.IntRange(0, 1).Draw(t, "kind"),
+				share: rapid.SampledFrom([]float64{0.02, 0.03, 0.1, 0.2, 0.4}).Draw(t, "share"), from: from, till: from + 20*time.Second,
+			})
+		}
+		f.play(otherCrashes, 30*time.Second)
+		for _, id := range f.convicted {
+			if !strings.HasPrefix(id, "dead") && !strings.HasPrefix(id, "request-") {
+				t.Fatalf("convicted %s", id)
+			}
+		}
+		for part, crashes := range f.aboard {
+			if late := f.lateSends(part, crashes); late > maxLateSends {
+				t.Fatalf("%s: sent %d times later than %v after the fifth crash; %d crashes", part, late, reactionTime, len(crashes))
+			}
+		}
+	})
+}
--- a/pkg/fpquarantine/tracker_test.go
+++ b/pkg/fpquarantine/tracker_test.go
@@ -20,8 +20,10 @@
 
 // The cases that tests draw are the same in each run, unless the flag asks for others.
 func init() {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.shrinktime": "1s", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 }
 
