A host that can't listen says so and ends

Seen: the review, with real processes: with its ready port taken at the start, the daemon closes its other listeners, logs no error and hangs, also when the port is free again. Cause: awaitShutdown waited for a signal alone, so that the run group never returned. Change: it returns when a part of the host has failed; a listener that can't be opened is logged.

--- a/internal/fpgateway/serve.go
+++ b/internal/fpgateway/serve.go
@@ -58,8 +58,10 @@
 // serve listens and serves. After a planned stop it waits for the run group to end.
 func (s *server) serve() error {
 	l, err := net.Listen("tcp", s.http.Addr)
-	if err != nil && s.optional {
+	if err != nil {
 		s.gateway.log("cannot listen", "Address", s.http.Addr, "Error", err.Error())
+	}
+	if err != nil && s.optional {
 		<-s.gateway.stopped
 		return nil
 	}
@@ -121,7 +123,11 @@
 // load balancer has noticed, then connections are closed as they become idle, and running
 // requests may end. Those that are left are answered shortly before the end.
 func (g *Gateway) awaitShutdown(ctx, inner context.Context, servers []*server) error {
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-g.stopped:
+		return nil // a part of the host has failed
+	}
 	started := g.clock()
 	end := started + g.settings().GracePeriod - shutdownMargin
 	g.stopsAt.Store(int64(end - lastAnswersMargin))
