Starts of replicas are read once for all requests, and not while a replica wants none

Change: one read at a time for each replica serves all requests that came before it; none while it pauses or leaves, where streams begin with an origin that allows no take-up. A start that was seen elsewhere is not asked for again. fpcoalesce's type is named Reader, since callers are clients here; constants of fpweights are documented one by one.

--- a/internal/fpcoalesce/doc.go
+++ b/internal/fpcoalesce/doc.go
@@ -1,2 +1,2 @@
-// Package fpcoalesce merges concurrent calls of one function whose results must not be older than the call.
+// Package fpcoalesce merges concurrent reads whose results must not be older than the read.
 package fpcoalesce
--- a/internal/fpcoalesce/caller_test.go
+++ b/internal/fpcoalesce/reader_test.go
@@ -12,8 +12,8 @@
 
 var errFailed = errors.New("failed")
 
-// TestCaller lets five goroutines call at times while calls take a second.
-func TestCaller(t *testing.T) {
+// TestReader lets five goroutines call at times while calls take a second.
+func TestReader(t *testing.T) {
 	const second = time.Second
 	tests := map[string]struct {
 		at      []time.Duration
@@ -32,7 +32,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				start, calls := time.Now(), 0
-				c := Caller[int]{Func: func() (int, error) {
+				r := Reader[int]{Read: func() (int, error) {
 					calls++
 					n := calls
 					time.Sleep(second)
@@ -42,7 +42,7 @@
 				for i, at := range tt.at {
 					go func() {
 						time.Sleep(at)
-						if v, err := c.Do(context.Background()); err == nil {
+						if v, err := r.Get(context.Background()); err == nil {
 							got[i] = v
 						}
 						ends[i] = time.Since(start)
@@ -56,19 +56,19 @@
 	}
 }
 
-// TestCallerLeaves ends the context of one caller; the call goes on for another one.
-func TestCallerLeaves(t *testing.T) {
+// TestReaderLeaves ends the context of one goroutine; the call goes on for another one.
+func TestReaderLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		c := Caller[int]{Func: func() (int, error) { time.Sleep(time.Second); return 7, nil }}
+		r := Reader[int]{Read: func() (int, error) { time.Sleep(time.Second); return 7, nil }}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second/2)
 		defer cancel()
 		go func() {
-			v, err := c.Do(context.Background())
+			v, err := r.Get(context.Background())
 			is.NoErr(err)
 			is.Equal(v, 7)
 		}()
-		_, err := c.Do(ctx)
+		_, err := r.Get(ctx)
 		is.True(errors.Is(err, context.DeadlineExceeded))
 		time.Sleep(3 * time.Second)
 	})
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -101,13 +101,15 @@
 		// origins holds at which software version each stream began.
 		origins *fporigin.Table
 		// currentBuilds reads the software versions in service from the store.
-		currentBuilds fpcoalesce.Caller[map[string][]string]
+		currentBuilds fpcoalesce.Reader[map[string][]string]
 		// unsentOrigins are those that the other hosts are told of next.
 		unsentOrigins []fporigin.Entry
 		// forwardsPausedUntil holds until when a host gets no forwarded request.
 		forwardsPausedUntil map[string]time.Duration
 		// seenStarts holds the last proof of which start of a replica answers, by ID.
 		seenStarts map[string]seenStart
+		// startReaders read the starts of replicas, by ID.
+		startReaders map[string]*fpcoalesce.Reader[int64]
 		// weightsAsked holds the replicas whose weights are being asked for.
 		weightsAsked map[string]bool
 		// limitsAnnouncedAt holds when a replica's limit was last told to all hosts.
@@ -141,10 +143,11 @@
 		limitsAnnouncedAt:   make(map[string]time.Duration),
 		weightsAsked:        make(map[string]bool),
 		seenStarts:          make(map[string]seenStart),
+		startReaders:        make(map[string]*fpcoalesce.Reader[int64]),
 		forwardsPausedUntil: make(map[string]time.Duration),
 	}
 	g.ending, g.endRequests = context.WithCancel(context.Background())
-	g.currentBuilds.Func = g.readBuilds
+	g.currentBuilds.Read = g.readBuilds
 	g.pool = fpconn.NewPool(p.Clock, func(string) { g.metrics.AddToCounter("upstream_connections", 1) })
 	if p.Dial != nil {
 		g.pool.SetDialer(p.Dial)
--- a/internal/fpgateway/log.go
+++ b/internal/fpgateway/log.go
@@ -103,4 +103,5 @@
 	g.balancer.ForgetReplica(id)
 	delete(g.limitsAnnouncedAt, id)
 	delete(g.seenStarts, id)
+	delete(g.startReaders, id)
 }
--- a/internal/fpgateway/origin.go
+++ b/internal/fpgateway/origin.go
@@ -84,7 +84,7 @@
 	if len(q.snapshot.builds[q.service.Name]) > 1 {
 		return "", errSeveralBuilds
 	}
-	builds, err := g.currentBuilds.Do(ctx)
+	builds, err := g.currentBuilds.Get(ctx)
 	if err != nil {
 		return "", err
 	}
--- a/internal/fpgateway/relay.go
+++ b/internal/fpgateway/relay.go
@@ -146,6 +146,7 @@
 			}
 			return q.handleIncompleteAnswer(ctx, c, err)
 		}
+		// Callers may take the stream up, which only replicas of the same software version can go on with.
 		if onFirstByte != nil && q.route.Repeatable() {
 			switch q.confirmStart(ctx, c.Replica, a) {
 			case startReplaced:
--- a/internal/fpgateway/start.go
+++ b/internal/fpgateway/start.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuepoint/fescuepoint/internal/fpcoalesce"
 	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
 	"github.com/fescuepoint/fescuepoint/pkg/fpfleet"
@@ -57,11 +58,14 @@
 		return startReplaced
 	}
 	g.mu.Lock()
-	seen := g.seenStarts[r.ID]
+	seen, known := g.seenStarts[r.ID]
 	g.mu.Unlock()
-	state := startConfirmed
-	if seen.startUnixMilli != r.StartUnixMilli || seen.at < a.OpenedAt() {
+	state := startReplaced
+	switch {
+	case !known || seen.at < a.OpenedAt():
 		state = q.askStart(ctx, r)
+	case seen.startUnixMilli == r.StartUnixMilli:
+		state = startConfirmed
 	}
 	if state == startConfirmed {
 		a.SetPeer(r.StartUnixMilli)
@@ -69,24 +73,25 @@
 	return state
 }
 
-// askStart asks a replica for its start.
+// askStart asks a replica for its start, unless it wants no requests now.
 func (q *request) askStart(ctx context.Context, r fpbalance.Replica) startState {
 	g := q.gateway
 	i := slices.IndexFunc(q.snapshot.registered, func(f fpfleet.Replica) bool { return f.ID == r.ID })
-	if i < 0 || r.StartUnixMilli == 0 {
+	switch {
+	case i < 0 || r.StartUnixMilli == 0:
 		return startConfirmed
+	case g.checkIntake(r) != nil:
+		return startUnknown
 	}
-	ctx, cancel := context.WithTimeout(ctx, startCheckTimeout)
-	defer cancel()
 	asked := g.clock()
-	g.metrics.AddToCounter("replica_start_reads", 1)
-	report, err := g.fetchReport(ctx, q.snapshot.registered[i])
+	start, err := g.startReader(q.snapshot.registered[i]).Get(ctx)
 	switch {
 	case err != nil:
 		q.appendTrail("%s start not read: %v", r.ID, err)
 		return startUnknown
-	case report.StartUnixMilli != 0 && report.StartUnixMilli != r.StartUnixMilli:
-		g.log("replica restarted before its registration", "RequestID", q.caller.ID, "Replica", r.ID, "Start", report.StartUnixMilli, "Registered", r.StartUnixMilli)
+	case start != 0 && start != r.StartUnixMilli:
+		g.log("replica restarted before its registration", "RequestID", q.caller.ID, "Replica", r.ID, "Start", start, "Registered", r.StartUnixMilli)
+		g.recordStart(r.ID, seenStart{start, asked})
 		g.pauseReplica(r.ID, r.StartUnixMilli, restartedPause)
 		return startReplaced
 	}
@@ -94,11 +99,29 @@
 	return startConfirmed
 }
 
+// startReader returns what reads a replica's start, for all requests at a time, from its status report.
+func (g *Gateway) startReader(r fpfleet.Replica) *fpcoalesce.Reader[int64] {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known := g.startReaders[r.ID]
+	if known == nil {
+		known = &fpcoalesce.Reader[int64]{Read: func() (int64, error) {
+			ctx, cancel := context.WithTimeout(context.Background(), startCheckTimeout)
+			defer cancel()
+			g.metrics.AddToCounter("replica_start_reads", 1)
+			report, err := g.fetchReport(ctx, r)
+			return report.StartUnixMilli, err
+		}}
+		g.startReaders[r.ID] = known
+	}
+	return known
+}
+
 // recordStart records that a start of a replica was seen to answer.
 func (g *Gateway) recordStart(id string, s seenStart) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if known := g.seenStarts[id]; known.startUnixMilli != s.startUnixMilli || known.at < s.at {
+	if known, ok := g.seenStarts[id]; !ok || known.at < s.at {
 		g.seenStarts[id] = s
 	}
 }
--- a/pkg/fpweights/table.go
+++ b/pkg/fpweights/table.go
@@ -3,11 +3,12 @@
 import "time"
 
 const (
-	// AnswerLag, ReportLag and EntryLag are how old statements may be when they arrive: that of an answer, of a
-	// status report, also one handed on by another host, and of a registration.
+	// AnswerLag is how old the version in an answer may be when it arrives.
 	AnswerLag = 500 * time.Millisecond
+	// ReportLag is how old a status report may be when it arrives, also through another host.
 	ReportLag = 1500 * time.Millisecond
-	EntryLag  = 3 * time.Second
+	// EntryLag is how old a registration may be when it arrives.
+	EntryLag = 3 * time.Second
 	// EntryDelay is the time in which a registration shows what the replica stated.
 	EntryDelay = 6 * time.Second
 )
