The report of a replica that rejected a request is read for the replica as it was registered then

Seen: go test -race of TestReplicaLeftOnReplacedWeights: a data race, on arm64. With fewer replicas in the new one the index could be out of range and end the host. Change: the registration is taken before. The test of fpcoalesce waits for its goroutines. Result: both pass under -race.

--- a/internal/fpcoalesce/reader_test.go
+++ b/internal/fpcoalesce/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,16 +40,17 @@
 					return n, tt.results[n-1]
 				}}
 				got, ends := make([]int, len(tt.at)), make([]time.Duration, len(tt.at))
+				var callers sync.WaitGroup
 				for i, at := range tt.at {
-					go func() {
+					callers.Go(func() {
 						time.Sleep(at)
 						if v, err := r.Get(context.Background()); err == nil {
 							got[i] = v
 						}
 						ends[i] = time.Since(start)
-					}()
+					})
 				}
-				time.Sleep(10 * second)
+				callers.Wait()
 				is.Equal(got, tt.want)
 				is.Equal(ends, tt.end)
 			})
--- a/internal/fpgateway/weights.go
+++ b/internal/fpgateway/weights.go
@@ -91,6 +91,7 @@
 	if i < 0 {
 		return
 	}
+	registered := q.snapshot.registered[i]
 	g.mu.Lock()
 	asked := g.weightsAsked[id]
 	g.weightsAsked[id] = true
@@ -106,7 +107,7 @@
 			defer g.mu.Unlock()
 			delete(g.weightsAsked, id)
 		}()
-		g.pollWeights(context.WithoutCancel(ctx), q.snapshot.registered[i], model, r.Version, until)
+		g.pollWeights(context.WithoutCancel(ctx), registered, model, r.Version, until)
 	}()
 }
 
