A replica's start is read at the address of its present registration

Cause: the reader of a replica's start, which requests share, kept the registration that it was made with. After a start at another address it dialed the former one, so that streams there began with an origin that allows no take-up. Evidence: TestStartReadAtPresentAddress failed on (connection refused). Change: the registration is looked up at each read. The lookup stood three times, as scans and an index of all replicas: it is a binary search in one place now.

--- a/internal/fpgateway/buildread.go
+++ b/internal/fpgateway/buildread.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpstore"
-	"github.com/fescuepoint/fescuepoint/pkg/fporigin"
 )
 
 const (
@@ -54,18 +53,17 @@
 	for service, list := range s.builds {
 		out[service] = slices.Clone(list)
 	}
-	seen := make(map[string]bool, len(s.registered))
-	for _, r := range s.registered {
-		seen[r.ID] = true
-	}
+	seen := make(map[string]bool)
 	add := func(service, build string) {
 		if !slices.Contains(out[service], build) {
 			out[service] = append(out[service], build)
 		}
 	}
 	for _, i := range items {
-		if o, ok := decodeBuildEntry(i); ok {
-			add(o.Service, o.Build)
+		if isBuildKey(i.Key) {
+			if o, err := unmarshalOrigin(i.Value); err == nil && !i.Deleted {
+				add(o.Service, o.Build)
+			}
 			continue
 		}
 		decoded, err := d.DecodeItem(i)
@@ -74,18 +72,11 @@
 		case decoded.Replica != nil:
 			seen[decoded.Replica.ID] = true
 			add(decoded.Replica.Service, decoded.Replica.Build)
-		case decoded.RemovedReplica != "" && !seen[decoded.RemovedReplica]:
-			return nil, errUnknownReplica
+		case decoded.RemovedReplica != "":
+			if _, known := s.registration(decoded.RemovedReplica); !known && !seen[decoded.RemovedReplica] {
+				return nil, errUnknownReplica
+			}
 		}
 	}
 	return out, nil
 }
-
-// decodeBuildEntry decodes the entry of a software version; it returns false for other items.
-func decodeBuildEntry(i fpstore.Item) (fporigin.Origin, bool) {
-	if i.Deleted || !isBuildKey(i.Key) {
-		return fporigin.Origin{}, false
-	}
-	o, err := unmarshalOrigin(i.Value)
-	return o, err == nil
-}
--- a/internal/fpgateway/buildread_test.go
+++ b/internal/fpgateway/buildread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -16,7 +17,7 @@
 	"github.com/fescuepoint/fescuepoint/pkg/fpfresh"
 )
 
-// entryDialect decodes replica/ID items, whose value is the service and the software version.
+// entryDialect decodes replica/ID items, whose value is the service, the software version and that of the weights.
 type entryDialect struct{ Dialect }
 
 func (entryDialect) DecodeItem(i fpstore.Item) (DecodedItem, error) {
@@ -27,8 +28,9 @@
 	case i.Deleted:
 		return DecodedItem{RemovedReplica: id}, nil
 	}
-	service, build, _ := strings.Cut(string(i.Value), "/")
-	return DecodedItem{Replica: &fpfleet.Replica{ID: id, Service: service, Build: build}}, nil
+	f := append(strings.Split(string(i.Value), "/"), "0")
+	weights, err := strconv.ParseInt(f[2], 10, 64)
+	return DecodedItem{Replica: &fpfleet.Replica{ID: id, Service: f[0], Build: f[1], Weights: map[string]int64{"m": weights}}}, err
 }
 
 // TestBuildsRead changes the store after a host's last update. What the host reads must show every software version
--- a/internal/fpgateway/former_test.go
+++ b/internal/fpgateway/former_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/fescuepoint/fescuepoint/internal/fpstore"
 	"github.com/fescuepoint/fescuepoint/pkg/fporigin"
 )
 
@@ -28,8 +27,9 @@
 	written, err := json.Marshal(w)
 	is.NoErr(err)
 	is.Equal(string(written), weights)
-	o, ok := decodeBuildEntry(fpstore.Item{Key: "fescuepoint/builds/s/v1", Value: []byte(build)})
-	is.True(ok)
+	is.True(isBuildKey("fescuepoint/builds/s/v1"))
+	o, err := unmarshalOrigin([]byte(build))
+	is.NoErr(err)
 	is.Equal(o, fporigin.Origin{Service: "s", Build: "v1"})
 	written, err = json.Marshal(o)
 	is.NoErr(err)
--- a/internal/fpgateway/start.go
+++ b/internal/fpgateway/start.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,7 +9,6 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpcoalesce"
 	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
-	"github.com/fescuepoint/fescuepoint/pkg/fpfleet"
 )
 
 const (
@@ -31,7 +29,10 @@
 	startUnknown
 )
 
-var errRestarted = errors.New("the replica has restarted since its registration")
+var (
+	errRestarted     = errors.New("the replica has restarted since its registration")
+	errNotRegistered = errors.New("the replica is not registered any more")
+)
 
 type (
 	startState int
@@ -76,15 +77,14 @@
 // askStart asks a replica for its start, unless it wants no requests now.
 func (q *request) askStart(ctx context.Context, r fpbalance.Replica) startState {
 	g := q.gateway
-	i := slices.IndexFunc(q.snapshot.registered, func(f fpfleet.Replica) bool { return f.ID == r.ID })
 	switch {
-	case i < 0 || r.StartUnixMilli == 0:
+	case r.StartUnixMilli == 0:
 		return startConfirmed
 	case g.checkIntake(r) != nil:
 		return startUnknown
 	}
 	asked := g.clock()
-	start, err := g.startReader(q.snapshot.registered[i]).Get(ctx)
+	start, err := g.startReader(r.ID).Get(ctx)
 	switch {
 	case err != nil:
 		q.appendTrail("%s start not read: %v", r.ID, err)
@@ -99,24 +99,31 @@
 	return startConfirmed
 }
 
-// startReader returns what reads a replica's start, for all requests at a time, from its status report.
-func (g *Gateway) startReader(r fpfleet.Replica) *fpcoalesce.Reader[int64] {
+// startReader returns what reads a replica's start, for all requests at a time.
+func (g *Gateway) startReader(id string) *fpcoalesce.Reader[int64] {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	known := g.startReaders[r.ID]
+	known := g.startReaders[id]
 	if known == nil {
-		known = &fpcoalesce.Reader[int64]{Read: func() (int64, error) {
-			ctx, cancel := context.WithTimeout(context.Background(), startCheckTimeout)
-			defer cancel()
-			g.metrics.AddToCounter("replica_start_reads", 1)
-			report, err := g.fetchReport(ctx, r)
-			return report.StartUnixMilli, err
-		}}
-		g.startReaders[r.ID] = known
+		known = &fpcoalesce.Reader[int64]{Read: func() (int64, error) { return g.readStart(id) }}
+		g.startReaders[id] = known
 	}
 	return known
 }
 
+// readStart reads a replica's start from its status report, at the address of its present registration.
+func (g *Gateway) readStart(id string) (int64, error) {
+	r, ok := g.snapshot.Load().registration(id)
+	if !ok {
+		return 0, errNotRegistered
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startCheckTimeout)
+	defer cancel()
+	g.metrics.AddToCounter("replica_start_reads", 1)
+	report, err := g.fetchReport(ctx, r)
+	return report.StartUnixMilli, err
+}
+
 // recordStart records that a start of a replica was seen to answer.
 func (g *Gateway) recordStart(id string, s seenStart) {
 	g.mu.Lock()
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -85,10 +85,11 @@
 		builds           map[string][]string
 		registeredBuilds map[fporigin.Origin]bool
 		storedBuilds     map[string]fporigin.Origin
-		registered       []fpfleet.Replica
-		published        publications
-		cacheStores      []fpbalance.CacheStore
-		hostCount        int
+		// registered holds the registrations, sorted by ID.
+		registered  []fpfleet.Replica
+		published   publications
+		cacheStores []fpbalance.CacheStore
+		hostCount   int
 		// hostNames are all hosts and hostsByRegion those of each region, both sorted.
 		hostNames     []string
 		hostsByRegion map[string][]string
@@ -113,6 +114,15 @@
 	}
 )
 
+// registration returns the registration of a replica.
+func (s *snapshot) registration(id string) (fpfleet.Replica, bool) {
+	i, found := slices.BinarySearchFunc(s.registered, id, func(r fpfleet.Replica, id string) int { return strings.Compare(r.ID, id) })
+	if !found {
+		return fpfleet.Replica{}, false
+	}
+	return s.registered[i], true
+}
+
 func newControlState(g *Gateway) *controlState {
 	return &controlState{
 		gateway:       g,
@@ -330,7 +340,7 @@
 	}
 	c.startTimes[r.ID] = r.StartUnixMilli
 	if len(r.Weights) > 0 {
-		c.recordWeights(r.ID, fpweights.Statement{Version: registeredWeights(*r), At: now, Lag: fpweights.EntryLag})
+		c.weights.Record(r.ID, fpweights.Statement{Version: registeredWeights(*r), At: now, Lag: fpweights.EntryLag})
 	}
 }
 
--- a/internal/fpgateway/weights.go
+++ b/internal/fpgateway/weights.go
@@ -19,9 +19,6 @@
 	rejectedWeightsPollInterval = 100 * time.Millisecond
 )
 
-// recordWeights records what a replica states of its weights.
-func (c *controlState) recordWeights(id string, s fpweights.Statement) { c.weights.Record(id, s) }
-
 // recordLoading records the time until which a replica is assumed to load weights, 0 when it does not load any.
 func (c *controlState) recordLoading(id string, until time.Duration) {
 	if until == 0 {
@@ -51,12 +48,8 @@
 
 // announceWeights records what a replica reported of its weights on this host and notifies all others of it.
 func (g *Gateway) announceWeights(id string, version int64, loading time.Duration) {
-	until := time.Duration(0)
-	if loading > 0 {
-		until = g.clock() + loading
-	}
-	g.recordReport(id, version, until)
 	w := &fpnotice.WeightsChange{Replica: id, Version: version, LoadingMs: int(loading.Milliseconds())}
+	g.recordReport(id, version, g.deadlineIn(w.LoadingMs))
 	g.sendNotice(g.snapshot.Load().allPeers, fpnotice.Notice{Weights: w})
 }
 
@@ -64,7 +57,7 @@
 func (g *Gateway) recordReport(id string, version int64, loadingUntil time.Duration) {
 	s := fpweights.Statement{Version: version, At: g.clock(), Lag: fpweights.ReportLag}
 	g.enqueueControl(func(c *controlState) {
-		c.recordWeights(id, s)
+		c.weights.Record(id, s)
 		c.recordLoading(id, loadingUntil)
 	})
 }
@@ -76,7 +69,7 @@
 	}
 	s := fpweights.Statement{Version: a.Version, At: g.clock(), Lag: fpweights.AnswerLag}
 	g.enqueueControl(func(c *controlState) {
-		c.recordWeights(r.ID, s)
+		c.weights.Record(r.ID, s)
 		if !a.NotRun {
 			c.recordLoading(r.ID, 0)
 		}
@@ -87,11 +80,10 @@
 // requests until then, or for assumedWeightsLoadTime if the report is older than the rejection.
 func (q *request) askWeights(ctx context.Context, r fpbalance.Replica) {
 	g, id, model := q.gateway, r.ID, q.caller.Model
-	i := slices.IndexFunc(q.snapshot.registered, func(f fpfleet.Replica) bool { return f.ID == id })
-	if i < 0 {
+	registered, ok := q.snapshot.registration(id)
+	if !ok {
 		return
 	}
-	registered := q.snapshot.registered[i]
 	g.mu.Lock()
 	asked := g.weightsAsked[id]
 	g.weightsAsked[id] = true
