Waits for a replica's limit end with the same reason as other waits

Change: awaitLimit uses endReason too; the conditions are flat; a comment counts right. Statuses are as before. Result: the tests of stops and restarted replicas pass.

--- a/internal/fpcoalesce/reader_test.go
+++ b/internal/fpcoalesce/reader_test.go
@@ -13,7 +13,7 @@
 
 var errFailed = errors.New("failed")
 
-// TestReader lets five goroutines call at times while calls take a second.
+// TestReader lets goroutines call at times while calls take a second.
 func TestReader(t *testing.T) {
 	const second = time.Second
 	tests := map[string]struct {
--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -233,12 +233,10 @@
 			q.announceWork(c, true)
 		}
 	}()
-	if q.buildKnown {
-		if state := q.askStart(ctx, c.Replica); state != startConfirmed {
-			q.triedReplicas = append(q.triedReplicas, c.Replica.ID)
-			q.appendTrail("%s may have restarted", c.Replica.ID)
-			return tryAnotherReplica
-		}
+	if q.buildKnown && q.askStart(ctx, c.Replica) != startConfirmed {
+		q.triedReplicas = append(q.triedReplicas, c.Replica.ID)
+		q.appendTrail("%s may have restarted", c.Replica.ID)
+		return tryAnotherReplica
 	}
 	attempt, cancelCause := context.WithCancelCause(ctx)
 	cancel := func() { cancelCause(nil) }
--- a/internal/fpgateway/limit.go
+++ b/internal/fpgateway/limit.go
@@ -91,7 +91,7 @@
 	g.balancer.RecordEnd(c, false)
 	g.mu.Unlock()
 	if !waited {
-		q.failRequest("out of time", q.retryAfter())
+		q.failRequest(endReason(ctx), q.retryAfter())
 	}
 	return false
 }
--- a/internal/fpgateway/serve.go
+++ b/internal/fpgateway/serve.go
@@ -60,12 +60,10 @@
 	l, err := net.Listen("tcp", s.http.Addr)
 	if err != nil {
 		s.gateway.log("cannot listen", "Address", s.http.Addr, "Error", err.Error())
-	}
-	if err != nil && s.optional {
-		<-s.gateway.stopped
-		return nil
-	}
-	if err != nil {
+		if s.optional {
+			<-s.gateway.stopped
+			return nil
+		}
 		return errors.Wrap(err, "listen")
 	}
 	err = s.http.Serve(l)
