Registrations of a restored store are no statements of the replicas' present weights

Cause: a registration in the list of a store that was restored from a copy counted as a statement at most 3 s old; the copy may be older, and the recorded version of the weights fell back to it. Change: while replicas may have to register again, registrations are no statements; the same check serves the read of software versions. From when registrations count again is the fleet's time, which a restore sets too; writableSince, which stood for nearly the same, is gone.

--- a/internal/fpgateway/buildread.go
+++ b/internal/fpgateway/buildread.go
@@ -24,6 +24,12 @@
 	errUnknownReplica   = errors.New("a replica came and left unseen")
 )
 
+// registrationsDue reports whether a store that was restored at a time may still show registrations of before, or lack
+// some.
+func registrationsDue(restoredAt, now time.Duration) bool {
+	return restoredAt > 0 && now-restoredAt < registrationDelay
+}
+
 // readBuilds returns the software versions in service by service, as the store shows them now. It changes no
 // state: the same changes reach the control goroutine through the follower, in order.
 func (g *Gateway) readBuilds() (map[string][]string, error) {
@@ -31,7 +37,7 @@
 	switch _, listed := s.proof.Age(g.clock()); {
 	case !listed || s.storeUnreachable:
 		return nil, errStoreUnreachable
-	case s.restoredAt > 0 && g.clock()-s.restoredAt < registrationDelay:
+	case registrationsDue(s.restoredAt, g.clock()):
 		return nil, errRegistrationsDue
 	}
 	g.metrics.AddToCounter("software_version_reads", 1)
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -46,8 +46,6 @@
 		// loadingUntil holds the time until which a replica is assumed to be loading weights.
 		loadingUntil     map[string]time.Duration
 		storeUnreachable bool
-		// writableSince is when the store was back after it was last out of reach.
-		writableSince time.Duration
 		// proof is the freshness proof of the state; both are updated together.
 		proof fpfresh.Proof
 		// orderLeaseHolder is the holder of the order lease according to the store, "" for none.
@@ -234,7 +232,6 @@
 func (c *controlState) markStoreReachable(now time.Duration) {
 	if c.storeUnreachable {
 		c.storeUnreachable = false
-		c.writableSince = now
 		c.fleet.MarkStoreReachable(now)
 		c.gateway.log("store reachable again", "ProofAge", c.gateway.formatProofAge(now))
 	}
@@ -339,7 +336,7 @@
 		c.gateway.log("replica draining", "Replica", r.ID, "Revision", r.Revision)
 	}
 	c.startTimes[r.ID] = r.StartUnixMilli
-	if len(r.Weights) > 0 {
+	if len(r.Weights) > 0 && !registrationsDue(c.restoredAt, now) {
 		c.weights.Record(r.ID, fpweights.Statement{Version: registeredWeights(*r), At: now, Lag: fpweights.EntryLag})
 	}
 }
--- a/internal/fpgateway/weights.go
+++ b/internal/fpgateway/weights.go
@@ -38,7 +38,7 @@
 	if !known || c.storeUnreachable {
 		return c.weights.Version(r.ID, registered, 0, now), true
 	}
-	return c.weights.Version(r.ID, registered, now-age, c.writableSince), true
+	return c.weights.Version(r.ID, registered, now-age, c.fleet.StoreReturnedAt()), true
 }
 
 // registeredWeights returns the highest version of the weights in a replica's registration.
--- a/pkg/fpfleet/fleet.go
+++ b/pkg/fpfleet/fleet.go
@@ -167,6 +167,10 @@
 	}
 }
 
+// StoreReturnedAt returns when registrations could be written again, after the store was last out of reach or was
+// restored.
+func (f *Fleet) StoreReturnedAt() time.Duration { return f.storeReturnedAt }
+
 // DropExpired drops lapsed entries whose grace period is over and reports whether there were any. It also
 // ends doubts that are over.
 func (f *Fleet) DropExpired(now time.Duration) bool {
