--- a/pkg/fpbalance/intake.go
+++ b/pkg/fpbalance/intake.go
@@ -96,3 +96,48 @@
 		return Choice{Score: -1}, ErrNoReplica
 	}
 }
+
+// RecordLimit records the limit that a replica names, in requests a second of all hosts together, and
+// this host's share of it. It reports whether it is another limit than before.
+func (b *Balancer) RecordLimit(id string, rate, share float64, now time.Duration) bool {
+	l := b.loadOf(id)
+	changed := !l.limit.named || l.limit.rate != rate
+	l.limit.named, l.limit.rate, l.limit.namedAt = true, rate, now
+	l.limit.pace.SetShare(share, now)
+	return changed
+}
+
+// RecordNoLimit records an answer that names no limit to a request sent at a time. It reports whether
+// that ends a limit: one that was named after the request was sent holds on.
+func (b *Balancer) RecordNoLimit(id string, sentAt time.Duration) bool {
+	l := b.loadOf(id)
+	if !l.limit.named || l.limit.namedAt >= sentAt {
+		return false
+	}
+	l.limit = namedLimit{}
+	return true
+}
+
+// RecordBrittle records that the replicas of a service fall over when they have to reject many requests for want of
+// room: each of the given number of hosts has an equal part of a replica's slots, and at least one.
+func (b *Balancer) RecordBrittle(service string, hosts int) { b.brittle[service] = max(hosts, 1) }
+
+// RecordSturdy records that the replicas of a service do not say that they are brittle.
+func (b *Balancer) RecordSturdy(service string) { delete(b.brittle, service) }
+
+// full reports whether this host has its part of a brittle replica's slots in use.
+func (b *Balancer) full(r Replica) bool {
+	hosts := b.brittle[r.Service]
+	return hosts > 0 && b.loadOf(r.ID).ownRequests >= max(r.Slots/hosts, 1)
+}
+
+// LimitedReplicas returns the number of replicas that name a limit.
+func (b *Balancer) LimitedReplicas() int {
+	n := 0
+	for _, l := range b.loads {
+		if l.limit.named {
+			n++
+		}
+	}
+	return n
+}
