A stream's software version keeps what proves it: a missing answer no longer makes it unknown for good

Cause: the host that began a stream on a new connection asked the replica once which start of it answers. Without an answer (the replica paused or left, the report took more than 400 ms) the version became "?", at all hosts and for good. At the host where the stream was taken up the same question to the target had the same end.

Change: an origin that was inferred keeps the version, the replica's registered start and since when that has to be seen to answer; any later proof of that start settles it, at the host that began the stream, which asks again and tells the others, or at the one where it is taken up. The start is proved over the connection on which the stream goes on, before the request is sent; one read of a slow report runs beside the next. Notices to former hosts say "?" as before.

Where a replica had restarted at another version no stream goes on.

--- a/internal/fpcoalesce/reader.go
+++ b/internal/fpcoalesce/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 type (
@@ -11,10 +12,13 @@
 	// two failing calls. The zero value with Read set is ready to use.
 	Reader[T any] struct {
 		Read func() (T, error)
+		// Overlap, unless it is 0, is how long a call may run before the next one begins beside it.
+		Overlap time.Duration
 
-		mu      sync.Mutex
-		running *call[T]
-		next    *call[T]
+		mu        sync.Mutex
+		running   int
+		startedAt time.Time
+		next      *call[T]
 	}
 
 	call[T any] struct {
@@ -42,20 +46,39 @@
 	defer r.mu.Unlock()
 	if r.next == nil {
 		r.next = &call[T]{done: make(chan struct{})}
+		r.startLater()
 	}
 	l := r.next
-	if r.running == nil {
+	if r.running == 0 {
 		r.start()
 	}
 	return l
 }
 
-// start begins the next call; the lock is held.
+// startLater begins the next call, if it has not begun by then, once the one before has run for Overlap; the lock is held.
+func (r *Reader[T]) startLater() {
+	if r.running == 0 || r.Overlap == 0 {
+		return
+	}
+	l := r.next
+	time.AfterFunc(r.Overlap-time.Since(r.startedAt), func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.next == l {
+			r.start()
+		}
+	})
+}
+
+// start begins the next call, if there is one; the lock is held.
 func (r *Reader[T]) start() {
-	r.running, r.next = r.next, nil
-	if r.running != nil {
-		go r.run(r.running)
+	if r.next == nil {
+		return
 	}
+	r.running++
+	r.startedAt = time.Now()
+	go r.run(r.next)
+	r.next = nil
 }
 
 func (r *Reader[T]) run(l *call[T]) {
@@ -68,5 +91,7 @@
 		close(r.next.done)
 		r.next = nil
 	}
-	r.start()
+	if r.running--; r.running == 0 {
+		r.start()
+	}
 }
--- a/internal/fpcoalesce/reader_test.go
+++ b/internal/fpcoalesce/reader_test.go
@@ -19,21 +19,23 @@
 	tests := map[string]struct {
 		at      []time.Duration
 		results []error
+		overlap time.Duration
 		// want holds the number of the call that each result came from, and end when it came.
 		want []int
 		end  []time.Duration
 	}{
-		"alone":                        {[]time.Duration{0}, []error{nil}, []int{1}, []time.Duration{second}},
-		"one after the other":          {[]time.Duration{0, 2 * second}, []error{nil, nil}, []int{1, 2}, []time.Duration{second, 3 * second}},
-		"late ones share the next":     {[]time.Duration{0, second / 4, second / 2}, []error{nil, nil}, []int{1, 2, 2}, []time.Duration{second, 2 * second, 2 * second}},
-		"a failure ends those waiting": {[]time.Duration{0, second / 4, 2 * second}, []error{errFailed, nil}, []int{0, 0, 2}, []time.Duration{second, second, 3 * second}},
+		"alone":                             {[]time.Duration{0}, []error{nil}, 0, []int{1}, []time.Duration{second}},
+		"one after the other":               {[]time.Duration{0, 2 * second}, []error{nil, nil}, 0, []int{1, 2}, []time.Duration{second, 3 * second}},
+		"late ones share the next":          {[]time.Duration{0, second / 4, second / 2}, []error{nil, nil}, 0, []int{1, 2, 2}, []time.Duration{second, 2 * second, 2 * second}},
+		"others don't wait for a long call": {[]time.Duration{0, second / 10, second / 5}, []error{nil, nil}, second / 4, []int{1, 2, 2}, []time.Duration{second, 5 * second / 4, 5 * second / 4}},
+		"a failure ends those waiting":      {[]time.Duration{0, second / 4, 2 * second}, []error{errFailed, nil}, 0, []int{0, 0, 2}, []time.Duration{second, second, 3 * second}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				start, calls := time.Now(), 0
-				r := Reader[int]{Read: func() (int, error) {
+				r := Reader[int]{Overlap: tt.overlap, Read: func() (int, error) {
 					calls++
 					n := calls
 					time.Sleep(second)
--- a/internal/fpconn/conn.go
+++ b/internal/fpconn/conn.go
@@ -32,7 +32,7 @@
 		completedExchanges int
 		connectTime        time.Duration
 		openedAt           time.Duration
-		// peer is what [Response.SetPeer] set.
+		// peer is what SetPeer recorded.
 		peer int64
 		// readable is the number of bytes that may still be read from the connection.
 		readable int64
@@ -47,6 +47,15 @@
 	return n
 }
 
+// OpenedAt implements Connection.
+func (c *conn) OpenedAt() time.Duration { return c.openedAt }
+
+// SetPeer implements Connection.
+func (c *conn) SetPeer(peer int64) { c.peer = peer }
+
+// Peer implements Connection.
+func (c *conn) Peer() int64 { return c.peer }
+
 // limitReads makes reads fail after n more bytes, besides those already in the reader's buffer.
 func (c *conn) limitReads(n int64) { c.readable = n }
 
--- a/internal/fpconn/exchange.go
+++ b/internal/fpconn/exchange.go
@@ -53,7 +53,17 @@
 		// calls that are never marked.
 		Key string
 		// Check, unless nil, is called once there is a connection; with an error nothing is sent.
-		Check func() error
+		Check func(Connection) error
+	}
+
+	// Connection is what is known of a connection to an upstream.
+	Connection interface {
+		// OpenedAt returns when the connection was opened, on the pool's clock.
+		OpenedAt() time.Duration
+		// SetPeer records who answers on the connection, for later calls on it.
+		SetPeer(peer int64)
+		// Peer returns what was recorded with SetPeer, 0 for nothing.
+		Peer() int64
 	}
 
 	// Response is an upstream's response; the caller must close it.
@@ -102,7 +112,7 @@
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	if call.Check != nil {
-		if err := call.Check(); err != nil {
+		if err := call.Check(c); err != nil {
 			_ = c.Close()
 			return nil, errors.Mark(err, ErrNotSent)
 		}
@@ -202,14 +212,8 @@
 	return n, nil
 }
 
-// OpenedAt returns when the connection was opened, on the pool's clock.
-func (r *Response) OpenedAt() time.Duration { return r.conn.openedAt }
-
-// SetPeer records who answers on the connection, for later calls on it.
-func (r *Response) SetPeer(peer int64) { r.conn.peer = peer }
-
-// Peer returns what was recorded with SetPeer, 0 for nothing.
-func (r *Response) Peer() int64 { return r.conn.peer }
+// Connection returns the connection on which the response arrived.
+func (r *Response) Connection() Connection { return r.conn }
 
 // Close ends the exchange. The connection returns to the pool if the body was
 // read completely and the connection is reusable; otherwise it is closed.
--- a/internal/fpgateway/build_test.go
+++ b/internal/fpgateway/build_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -34,7 +35,9 @@
 		// takenUpAt is the host at which the clients take their streams up.
 		takenUpAt *testCluster
 		streams   []brokenStream
-		requests  int
+		// mu guards requests, the number of requests so far.
+		mu       sync.Mutex
+		requests int
 	}
 
 	// brokenStream is a stream whose client lost it after the first event.
@@ -135,15 +138,24 @@
 func (b *buildTest) call(o *testCluster, header map[string]string) (*http.Response, string) {
 	b.t.Helper()
 	b.requests++
-	id := fmt.Sprint("stream-", b.requests)
-	req, err := http.NewRequest(http.MethodPost, "http://"+o.hostSettings.CallersAddress+"/hint/x", strings.NewReader("body"))
+	res, id, err := o.openStream(context.Background(), b.requests, header)
 	if err != nil {
 		b.t.Fatal(err)
 	}
+	return res, id
+}
+
+// openStream sends a numbered request for a stream.
+func (tc *testCluster) openStream(ctx context.Context, number int, header map[string]string) (*http.Response, string, error) {
+	id := fmt.Sprint("stream-", number)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+tc.hostSettings.CallersAddress+"/hint/x", strings.NewReader("body"))
+	if err != nil {
+		return nil, id, err
+	}
 	req.Host = "a.example"
-	prompt := fmt.Sprintf("a%d:1200,b%d:300", b.requests, b.requests)
+	prompt := fmt.Sprintf("a%d:1200,b%d:300", number, number)
 	for k, v := range map[string]string{
-		"Attempt-Id": id, "Authorization": "Token key", "Deadline-Ms": "2000", "Model": "m", "Token-Usage": "1500,20", "Prompt-Prefix": prompt,
+		"Attempt-Id": id, "Authorization": "Token key", "Deadline-Ms": "6000", "Model": "m", "Token-Usage": "1500,20", "Prompt-Prefix": prompt,
 	} {
 		req.Header.Set(k, v)
 	}
@@ -152,10 +164,21 @@
 	}
 	c := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	res, err := c.Do(req)
-	if err != nil {
-		b.t.Fatal(err)
+	return res, id, err
+}
+
+// readEvent reads the first event of a stream and closes it.
+func readEvent(res *http.Response) (string, error) {
+	defer func() { _ = res.Body.Close() }()
+	text := ""
+	for reader := bufio.NewReader(res.Body); !strings.HasSuffix(text, "\n\n"); {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			return text, err
+		}
+		text += line
 	}
-	return res, id
+	return text, nil
 }
 
 // beginStreams begins streams at the first host, each of which breaks at its client after the first event.
@@ -163,17 +186,11 @@
 	var out []brokenStream
 	for range takenUpStreams {
 		res, id := b.call(b.testCluster, nil)
-		s := brokenStream{id: id}
-		reader := bufio.NewReader(res.Body)
-		for !strings.HasSuffix(s.text, "\n\n") {
-			line, err := reader.ReadString('\n')
-			if err != nil {
-				b.t.Fatal(err)
-			}
-			s.text += line
+		text, err := readEvent(res)
+		if err != nil {
+			b.t.Fatal(err)
 		}
-		_ = res.Body.Close()
-		out = append(out, s)
+		out = append(out, brokenStream{id: id, text: text})
 	}
 	return out
 }
@@ -185,7 +202,15 @@
 	}
 	status := 0
 	for range takeUpTries {
-		res, _ := b.call(b.takenUpAt, map[string]string{"Last-Event-Id": "1", "Resumes": resumes})
+		b.mu.Lock()
+		b.requests++
+		number := b.requests
+		b.mu.Unlock()
+		res, _, err := b.takenUpAt.openStream(context.Background(), number, map[string]string{"Last-Event-Id": "1", "Resumes": resumes})
+		if err != nil {
+			b.t.Error(err)
+			return s.text, 0
+		}
 		body, err := io.ReadAll(res.Body)
 		_ = res.Body.Close()
 		if status = res.StatusCode; status == http.StatusOK && err == nil {
--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -233,11 +233,6 @@
 			q.announceWork(c, true)
 		}
 	}()
-	if q.buildKnown && q.askStart(ctx, c.Replica) != startConfirmed {
-		q.triedReplicas = append(q.triedReplicas, c.Replica.ID)
-		q.appendTrail("%s may have restarted", c.Replica.ID)
-		return tryAnotherReplica
-	}
 	attempt, cancelCause := context.WithCancelCause(ctx)
 	cancel := func() { cancelCause(nil) }
 	defer cancel()
@@ -264,7 +259,7 @@
 	q.announceTrial(c.Replica.ID)
 	q.announceWork(c, false)
 	g.trackUnbegun(q, cancelCause)
-	a, err := g.pool.Do(attempt, q.buildCall(c, sentAt))
+	a, err := g.pool.Do(attempt, q.buildCall(attempt, c, sentAt))
 	g.untrackUnbegun(q)
 	if err != nil {
 		return q.handleNoAnswer(ctx, c, err, context.Cause(attempt))
@@ -293,8 +288,8 @@
 	return q.relayBuffered(ctx, c, a, reply)
 }
 
-// buildCall builds the upstream call of an attempt.
-func (q *request) buildCall(c fpbalance.Choice, now time.Duration) fpconn.Call {
+// buildCall builds the upstream call of an attempt, which ends with the context.
+func (q *request) buildCall(ctx context.Context, c fpbalance.Choice, now time.Duration) fpconn.Call {
 	a := Attempt{
 		Replica:     c.Replica.ID,
 		TimeLeft:    q.deadline - now,
@@ -326,8 +321,13 @@
 		Body:    q.body,
 		MaxIdle: q.maxIdle(),
 		Key:     q.caller.ID,
-		Check:   func() error { return q.gateway.checkIntake(c.Replica) },
-		Accept:  q.acceptsAnswer,
+		Check: func(n fpconn.Connection) error {
+			if err := q.requireStart(ctx, c.Replica, n); err != nil {
+				return err
+			}
+			return q.gateway.checkIntake(c.Replica)
+		},
+		Accept: q.acceptsAnswer,
 	}
 }
 
@@ -396,7 +396,7 @@
 func (q *request) handleNoAnswer(ctx context.Context, c fpbalance.Choice, err, cause error) attemptResult {
 	g := q.gateway
 	switch {
-	case errors.Is(err, errNotTaken):
+	case errors.IsAny(err, errNotTaken, errStartUnknown, errRestarted):
 	case fpconn.DialFailed(err) && ctx.Err() == nil:
 		q.unreached = true
 		g.recordNoConnection(c.Replica.ID, err)
--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -16,6 +16,7 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
 	"github.com/fescuepoint/fescuepoint/pkg/fpcatalog"
+	"github.com/fescuepoint/fescuepoint/pkg/fporigin"
 	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
 )
 
@@ -70,9 +71,11 @@
 		// sentAt is when the last attempt was sent.
 		sentAt time.Duration
 		stream streamState
-		// build is the software version at which the stream goes on, once buildKnown.
+		// build is the software version at which the stream goes on, once buildKnown, and inference what it
+		// was inferred from, if it was.
 		build      string
 		buildKnown bool
+		inference  fporigin.Inference
 		// forwardedBy is the host that forwarded the request, "" for a caller's own.
 		forwardedBy string
 		// unreached says that no connection to a replica could be opened.
@@ -345,7 +348,7 @@
 		"TokensPerSecond", int(q.choice.TokensPerSecond), "DrainTokensPerSecond", int(q.choice.DrainTokensPerSecond), "FixedSeconds", roundSeconds(q.choice.FixedSeconds), "RoundTripSeconds", roundSeconds(q.choice.RoundTripSeconds), "Trail", fmt.Sprint(q.trail),
 	}
 	if q.buildKnown || q.isTakeUp() {
-		fields = append(fields, "Build", q.choice.Replica.Build, "Resumes", q.caller.Resumes)
+		fields = append(fields, "Build", q.choice.Replica.Build, "BuildInferred", q.inference != fporigin.Inference{}, "Resumes", q.caller.Resumes)
 	}
 	if q.forwardedBy != "" {
 		fields = append(fields, "ForwardedBy", q.forwardedBy)
--- a/internal/fpgateway/origin.go
+++ b/internal/fpgateway/origin.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
 	"github.com/fescuepoint/fescuepoint/pkg/fpcatalog"
 	"github.com/fescuepoint/fescuepoint/pkg/fporigin"
@@ -20,8 +24,15 @@
 	minBuildRetention = 30 * time.Second
 	// maxBuildRetention bounds the same; the store's leases are no longer than ten minutes.
 	maxBuildRetention = 6 * time.Minute
+	// confirmOriginsInterval is the interval at which inferred origins are checked.
+	confirmOriginsInterval = 100 * time.Millisecond
+	// confirmRetryPause is the pause between two reads of a replica's start for inferred origins.
+	confirmRetryPause = time.Second
 )
 
+// errOriginUnknown means that nothing is known that could tell a stream's software version.
+var errOriginUnknown = errors.New("the host that began it could not tell")
+
 // buildRetention returns how long a stream may be taken up after the last replica of its software version
 // has left: for as long as a request may wait.
 func buildRetention(c *fpcatalog.Catalog) time.Duration {
@@ -53,14 +64,14 @@
 // the request if it can't go on.
 func (q *request) settleBuild(ctx context.Context) bool {
 	g := q.gateway
-	if !q.buildKnown && q.isTakeUp() {
+	if !q.buildKnown && q.isTakeUp() || q.inference != (fporigin.Inference{}) {
 		build, err := q.findOrigin(ctx)
 		if err != nil {
 			g.metrics.AddToCounter("take_ups_refused_origin_unknown", 1)
-			q.failRequest("it is not known which software version began the stream: "+err.Error(), q.retryAfter())
+			q.failRequest("it is not known which software version began the stream: "+err.Error(), max(q.retryAfter(), g.originDueIn(q.streamID())))
 			return false
 		}
-		q.build, q.buildKnown = build, true
+		q.build, q.buildKnown, q.inference = build, true, fporigin.Inference{}
 	}
 	if q.buildKnown && !slices.ContainsFunc(q.snapshot.replicasByService[q.service.Name], q.maySendTo) {
 		g.metrics.AddToCounter("take_ups_refused_build_gone", 1)
@@ -76,10 +87,13 @@
 func (q *request) findOrigin(ctx context.Context) (string, error) {
 	g := q.gateway
 	g.mu.Lock()
-	o, known := g.origins.Use(q.streamID(), g.clock())
+	e, known := g.origins.Use(q.streamID(), g.clock())
 	g.mu.Unlock()
+	if !known && q.buildKnown {
+		e, known = fporigin.Entry{Origin: fporigin.Origin{Service: q.service.Name, Build: q.build}, Inference: q.inference}, true
+	}
 	if known {
-		return o.Build, nil
+		return e.Build, q.confirmInference(ctx, e.Inference)
 	}
 	if len(q.snapshot.builds[q.service.Name]) > 1 {
 		return "", errSeveralBuilds
@@ -111,13 +125,42 @@
 	return out
 }
 
+// confirmInference fails unless the start of a replica that began a stream still answers, which proves that an earlier
+// answer on a connection of its time was its own.
+func (q *request) confirmInference(ctx context.Context, i fporigin.Inference) error {
+	switch {
+	case i == fporigin.Inference{}:
+		return nil
+	case i.Replica == "":
+		return errOriginUnknown
+	}
+	ctx, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	switch q.askStart(ctx, i.Replica, i.StartUnixMilli) {
+	case startConfirmed:
+		return nil
+	case startReplaced:
+		return errRestarted
+	default:
+		return errors.Wrap(errStartUnknown, i.Replica)
+	}
+}
+
+// originDueIn returns the time until the replica can be asked from which a stream's origin was inferred.
+func (g *Gateway) originDueIn(id string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e, _ := g.origins.Use(id, g.clock())
+	return g.balancer.PauseLeft(fpbalance.Replica{ID: e.Inference.Replica, StartUnixMilli: e.Inference.StartUnixMilli}, g.clock())
+}
+
 // recordOrigin records the software version of a stream, before its first event is forwarded.
-func (q *request) recordOrigin(build string) {
+func (q *request) recordOrigin(build string, i fporigin.Inference) {
 	if q.isTakeUp() {
 		q.gateway.metrics.AddToCounter("take_ups_resumed", 1)
 	}
-	q.build, q.buildKnown = build, true
-	q.gateway.recordOrigin(fporigin.Origin{Service: q.service.Name, Build: build}, q.streamID(), q.caller.ID)
+	q.build, q.buildKnown, q.inference = build, true, i
+	q.gateway.recordOrigin(fporigin.Entry{Origin: fporigin.Origin{Service: q.service.Name, Build: build}, Inference: i}, q.streamID(), q.caller.ID)
 }
 
 // keepOrigin renews the stream's origin, since its caller may take it up from now on.
@@ -132,21 +175,70 @@
 	g.origins.Use(q.caller.ID, g.clock())
 }
 
-// recordOrigin records the origin of a stream under the IDs of requests.
-func (g *Gateway) recordOrigin(o fporigin.Origin, ids ...string) {
-	several := len(g.snapshot.Load().builds[o.Service]) > 1
+// recordOrigin records the origin of a stream that this host forwards under the IDs of requests.
+func (g *Gateway) recordOrigin(e fporigin.Entry, ids ...string) {
+	several := len(g.snapshot.Load().builds[e.Service]) > 1
+	e.Host = g.settings().Host
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !e.Certain() {
+		g.metrics.AddToCounter("stream_origins_inferred", 1)
+	}
 	for _, id := range slices.Compact(ids) {
 		if id == "" || len(id) > maxStreamIDBytes {
 			continue
 		}
-		e := fporigin.Entry{Origin: o, ID: id, Host: g.settings().Host}
+		e.ID = id
 		g.origins.Record(e, g.clock())
-		if (several || o.Build == unknownBuild) && len(g.unsentOrigins) < maxUnsentOrigins {
-			g.unsentOrigins = append(g.unsentOrigins, e)
+		if several || !e.Certain() {
+			g.enqueueOrigins(e)
+		}
+	}
+}
+
+// enqueueOrigins has the other hosts told of origins, as many as there is room for. The gateway's mutex must be held.
+func (g *Gateway) enqueueOrigins(list ...fporigin.Entry) {
+	g.unsentOrigins = append(g.unsentOrigins, list[:min(len(list), maxUnsentOrigins-len(g.unsentOrigins))]...)
+}
+
+// confirmOrigins makes the origins certain that were inferred from a start that was seen to answer, and has the other
+// hosts told of this host's. The gateway's mutex must be held.
+func (g *Gateway) confirmOrigins(replica string, s seenStart) {
+	confirmed := g.origins.Confirm(replica, s.startUnixMilli, s.at)
+	if len(confirmed) == 0 {
+		return
+	}
+	g.metrics.AddToCounter("stream_origins_confirmed", len(confirmed))
+	g.log("stream origins confirmed", "Replica", replica, "Start", s.startUnixMilli, "Build", confirmed[0].Build, "Streams", len(confirmed))
+	g.enqueueOrigins(slices.DeleteFunc(confirmed, func(e fporigin.Entry) bool { return e.Host != g.settings().Host })...)
+}
+
+// confirmOwnOrigins asks replicas for their start, until the context ends, whose starts were registered but could not be
+// asked as this host's streams began there.
+func (g *Gateway) confirmOwnOrigins(ctx context.Context) error {
+	// askAt holds until when a replica is not asked again, by ID.
+	askAt := make(map[string]time.Duration)
+	for fpclock.Sleep(ctx, confirmOriginsInterval) {
+		now := g.clock()
+		maps.DeleteFunc(askAt, func(_ string, at time.Duration) bool { return now >= at })
+		g.mu.Lock()
+		unconfirmed := g.origins.Unconfirmed(g.settings().Host, now)
+		g.mu.Unlock()
+		for _, i := range unconfirmed {
+			r, registered := g.snapshot.Load().registration(i.Replica)
+			_, asked := askAt[i.Replica]
+			if asked || !registered || r.StartUnixMilli != i.StartUnixMilli || g.pauseLeft(fpbalance.Replica{ID: r.ID, StartUnixMilli: r.StartUnixMilli}) > 0 {
+				continue
+			}
+			askAt[i.Replica] = now + confirmRetryPause
+			go func() {
+				if _, err := g.startReader(i.Replica).Get(ctx); err != nil && ctx.Err() == nil {
+					g.log("replica start not read", "Replica", i.Replica, "Error", err.Error())
+				}
+			}()
 		}
 	}
+	return nil
 }
 
 func (g *Gateway) setOriginRetention(c *fpcatalog.Catalog) {
--- a/internal/fpgateway/relay.go
+++ b/internal/fpgateway/relay.go
@@ -13,6 +13,7 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
 	"github.com/fescuepoint/fescuepoint/pkg/fpcatalog"
+	"github.com/fescuepoint/fescuepoint/pkg/fporigin"
 )
 
 const (
@@ -147,22 +148,20 @@
 			return q.handleIncompleteAnswer(ctx, c, err)
 		}
 		// Callers may take the stream up, which only replicas of the same software version can go on with.
+		var inference fporigin.Inference
 		if onFirstByte != nil && q.route.Repeatable() {
-			switch q.confirmStart(ctx, c.Replica, a) {
-			case startReplaced:
+			switch state := q.confirmStart(ctx, c.Replica, a); {
+			case state == startReplaced, state == startUnknown && q.buildKnown:
 				return q.handleIncompleteAnswer(ctx, c, errRestarted)
-			case startUnknown:
-				if q.buildKnown {
-					return q.handleIncompleteAnswer(ctx, c, errRestarted)
-				}
-				c.Replica.Build = unknownBuild
+			case state == startUnknown:
+				inference = fporigin.Inference{Replica: c.Replica.ID, StartUnixMilli: c.Replica.StartUnixMilli, Since: a.Connection().OpenedAt()}
 			}
 		}
 		if !part.accept(&q.stream, event) {
 			return q.handleForeignAnswer(ctx, c, errNotResumed)
 		}
 		if !q.stream.headerSent {
-			q.recordOrigin(c.Replica.Build)
+			q.recordOrigin(c.Replica.Build, inference)
 			q.setAnswerHeader(q.gateway.dialect.AnswerHeader(a.Header))
 			q.writer.WriteHeader(a.Status)
 			q.status = a.Status
--- a/internal/fpgateway/rollout.go
+++ b/internal/fpgateway/rollout.go
@@ -334,7 +334,7 @@
 	started := g.clock()
 	lastOrder, orders := -orderRetryInterval, 0
 	for g.clock()-started < maxWeightsLoadTime {
-		report, err := g.fetchReport(ctx, u.replica)
+		report, err := g.fetchReport(ctx, u.replica, controlCallTimeout)
 		now := g.clock()
 		switch {
 		case err != nil:
@@ -390,8 +390,10 @@
 	}
 }
 
-// fetchReport reads a replica's status report.
-func (g *Gateway) fetchReport(ctx context.Context, r fpfleet.Replica) (Report, error) {
+// fetchReport reads a replica's status report within a timeout.
+func (g *Gateway) fetchReport(ctx context.Context, r fpfleet.Replica, timeout time.Duration) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	status, body, err := g.callReplica(ctx, r, g.dialect.ReportCall(r.Address, r.ID))
 	if err != nil {
 		return Report{}, err
@@ -421,6 +423,8 @@
 		g.log("order not sent", "Replica", id, "Error", err.Error())
 		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, controlCallTimeout)
+	defer cancel()
 	status, _, err := g.callReplica(ctx, u.replica, call)
 	r.setUnanswered(id, err != nil)
 	if err != nil {
@@ -444,10 +448,8 @@
 	return true
 }
 
-// callReplica makes a control call to a replica and reads the whole answer.
+// callReplica makes a control call to a replica, until the context ends, and reads the whole answer.
 func (g *Gateway) callReplica(ctx context.Context, r fpfleet.Replica, call fpconn.Call) (int, []byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, controlCallTimeout)
-	defer cancel()
 	a, err := g.pool.Do(ctx, call)
 	if err != nil {
 		return 0, nil, err
--- a/internal/fpgateway/start.go
+++ b/internal/fpgateway/start.go
@@ -12,14 +12,16 @@
 )
 
 const (
-	// startCheckTimeout bounds the question whether a replica is the one that is registered.
+	// startCheckTimeout is how long the first event of a stream waits for proof of which start of a replica sent it.
 	startCheckTimeout = 400 * time.Millisecond
+	// startReadTimeout bounds the read of a replica's start, and startReadOverlap is the least time from one to the next.
+	startReadTimeout = 3 * time.Second
+	startReadOverlap = 200 * time.Millisecond
+	// startWait is how long a stream that is to go on waits for proof of the start that it depends on.
+	startWait = startReadTimeout + startReadOverlap
 	// restartedPause is how long a replica gets no requests that has restarted, as far as its registration does not
 	// tell it.
 	restartedPause = 500 * time.Millisecond
-	// unknownBuild stands for the software version of a stream at a replica that may have restarted. No replica
-	// registers with it.
-	unknownBuild = "?"
 )
 
 const (
@@ -31,6 +33,7 @@
 
 var (
 	errRestarted     = errors.New("the replica has restarted since its registration")
+	errStartUnknown  = errors.New("it is not known which start of the replica answers")
 	errNotRegistered = errors.New("the replica is not registered any more")
 )
 
@@ -45,17 +48,38 @@
 )
 
 // confirmStart tells whether the answer comes from the registered start of the replica, whose software version is
-// known. A connection ends with the process that accepted it, so that it needs one proof: that start was seen to
-// answer after the connection was opened.
+// known.
 func (q *request) confirmStart(ctx context.Context, r fpbalance.Replica, a *fpconn.Response) startState {
+	if r.StartUnixMilli != 0 && a.Connection().Peer() == r.StartUnixMilli {
+		q.gateway.recordStart(r.ID, seenStart{r.StartUnixMilli, q.sentAt})
+	}
+	return q.confirmConnection(ctx, r, a.Connection(), startCheckTimeout)
+}
+
+// requireStart fails unless the connection to a replica leads to its registered start, where the stream that the request
+// is to go on with needs that.
+func (q *request) requireStart(ctx context.Context, r fpbalance.Replica, c fpconn.Connection) error {
+	if !q.buildKnown {
+		return nil
+	}
+	switch q.confirmConnection(ctx, r, c, startWait) {
+	case startConfirmed:
+		return nil
+	case startReplaced:
+		return errRestarted
+	default:
+		return errStartUnknown
+	}
+}
+
+// confirmConnection tells whether a connection to a replica leads to its registered start. A connection ends with the
+// process that accepted it, so that it needs one proof: that start was seen to answer after the connection was opened.
+func (q *request) confirmConnection(ctx context.Context, r fpbalance.Replica, c fpconn.Connection, wait time.Duration) startState {
 	g := q.gateway
 	switch {
-	case r.StartUnixMilli == 0:
+	case r.StartUnixMilli == 0, c.Peer() == r.StartUnixMilli:
 		return startConfirmed
-	case a.Peer() == r.StartUnixMilli:
-		g.recordStart(r.ID, seenStart{r.StartUnixMilli, q.sentAt})
-		return startConfirmed
-	case a.Peer() != 0:
+	case c.Peer() != 0:
 		return startReplaced
 	}
 	g.mu.Lock()
@@ -63,39 +87,34 @@
 	g.mu.Unlock()
 	state := startReplaced
 	switch {
-	case !known || seen.at < a.OpenedAt():
-		state = q.askStart(ctx, r)
+	case !known || seen.at < c.OpenedAt():
+		ctx, cancel := context.WithTimeout(ctx, wait)
+		defer cancel()
+		state = q.askStart(ctx, r.ID, r.StartUnixMilli)
 	case seen.startUnixMilli == r.StartUnixMilli:
 		state = startConfirmed
 	}
 	if state == startConfirmed {
-		a.SetPeer(r.StartUnixMilli)
+		c.SetPeer(r.StartUnixMilli)
 	}
 	return state
 }
 
-// askStart asks a replica for its start, unless it wants no requests now.
-func (q *request) askStart(ctx context.Context, r fpbalance.Replica) startState {
+// askStart asks a replica whether a start of it answers, unless it wants no requests now.
+func (q *request) askStart(ctx context.Context, id string, startUnixMilli int64) startState {
 	g := q.gateway
-	switch {
-	case r.StartUnixMilli == 0:
-		return startConfirmed
-	case g.checkIntake(r) != nil:
+	if left := g.pauseLeft(fpbalance.Replica{ID: id, StartUnixMilli: startUnixMilli}); left > 0 {
+		q.appendTrail("%s start not read: it wants no requests for %v", id, left)
 		return startUnknown
 	}
-	asked := g.clock()
-	start, err := g.startReader(r.ID).Get(ctx)
+	start, err := g.startReader(id).Get(ctx)
 	switch {
 	case err != nil:
-		q.appendTrail("%s start not read: %v", r.ID, err)
+		q.appendTrail("%s start not read: %v", id, err)
 		return startUnknown
-	case start != 0 && start != r.StartUnixMilli:
-		g.log("replica restarted before its registration", "RequestID", q.caller.ID, "Replica", r.ID, "Start", start, "Registered", r.StartUnixMilli)
-		g.recordStart(r.ID, seenStart{start, asked})
-		g.pauseReplica(r.ID, r.StartUnixMilli, restartedPause)
+	case start != 0 && start != startUnixMilli:
 		return startReplaced
 	}
-	g.recordStart(r.ID, seenStart{r.StartUnixMilli, asked})
 	return startConfirmed
 }
 
@@ -105,30 +124,41 @@
 	defer g.mu.Unlock()
 	known := g.startReaders[id]
 	if known == nil {
-		known = &fpcoalesce.Reader[int64]{Read: func() (int64, error) { return g.readStart(id) }}
+		known = &fpcoalesce.Reader[int64]{Overlap: startReadOverlap, Read: func() (int64, error) { return g.readStart(id) }}
 		g.startReaders[id] = known
 	}
 	return known
 }
 
-// readStart reads a replica's start from its status report, at the address of its present registration.
+// readStart reads a replica's start from its status report, at the address of its present registration, and records it.
 func (g *Gateway) readStart(id string) (int64, error) {
 	r, ok := g.snapshot.Load().registration(id)
 	if !ok {
 		return 0, errNotRegistered
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), startCheckTimeout)
-	defer cancel()
 	g.metrics.AddToCounter("replica_start_reads", 1)
-	report, err := g.fetchReport(ctx, r)
-	return report.StartUnixMilli, err
+	asked := g.clock()
+	report, err := g.fetchReport(context.Background(), r, startReadTimeout)
+	if err != nil {
+		return 0, err
+	}
+	start := report.StartUnixMilli
+	if start != 0 && start != r.StartUnixMilli {
+		g.log("replica restarted before its registration", "Replica", r.ID, "Start", start, "Registered", r.StartUnixMilli)
+		g.recordStart(id, seenStart{start, asked})
+		g.pauseReplica(id, r.StartUnixMilli, restartedPause)
+		return start, nil
+	}
+	g.recordStart(id, seenStart{r.StartUnixMilli, asked})
+	return start, nil
 }
 
-// recordStart records that a start of a replica was seen to answer.
+// recordStart records that a start of a replica was seen to answer, which confirms the origins that were inferred from it.
 func (g *Gateway) recordStart(id string, s seenStart) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if known, ok := g.seenStarts[id]; !ok || known.at < s.at {
 		g.seenStarts[id] = s
 	}
+	g.confirmOrigins(id, s)
 }
--- a/internal/fpgateway/weights.go
+++ b/internal/fpgateway/weights.go
@@ -106,7 +106,7 @@
 // pollWeights reads a replica's status report until it names other weights than those that the replica rejected.
 func (g *Gateway) pollWeights(ctx context.Context, r fpfleet.Replica, model string, rejected int64, until time.Duration) {
 	for g.clock() < until {
-		report, err := g.fetchReport(ctx, r)
+		report, err := g.fetchReport(ctx, r, controlCallTimeout)
 		if err != nil {
 			g.log("no valid status report", "Replica", r.ID, "Error", err.Error())
 			return
--- a/internal/fpnotice/notice.go
+++ b/internal/fpnotice/notice.go
@@ -109,11 +109,21 @@
 	}
 
 	// StreamOrigins reports the software version of a service that began streams, by the IDs of the
-	// requests that brought their first events.
+	// requests that brought their first events. Build is "?" if it is Inferred or unknown.
 	StreamOrigins struct {
-		Service string
-		Build   string
-		IDs     []string
+		Service  string
+		Build    string
+		IDs      []string
+		Inferred *InferredBuild `json:",omitempty"`
+	}
+
+	// InferredBuild is the software version with which a start of a replica, in Unix milliseconds, is registered. It
+	// began the streams if that start is seen to answer at a time that is less than AgeMs milliseconds ago.
+	InferredBuild struct {
+		Build          string
+		Replica        string
+		StartUnixMilli int64
+		AgeMs          int64
 	}
 
 	// ReplicaLeaving reports that a replica that started at a time, in Unix milliseconds, takes no new
--- a/pkg/fporigin/table_test.go
+++ b/pkg/fporigin/table_test.go
@@ -85,3 +85,58 @@
 	_, ok := t.elements[id]
 	return ok
 }
+
+func inferred(id, build, replica string, start int64, since time.Duration) Entry {
+	e := entry(id, build)
+	e.Inference = Inference{Replica: replica, StartUnixMilli: start, Since: since}
+	return e
+}
+
+// TestInferredOrigin checks when an inferred origin becomes certain, and which origin goes before which.
+func TestInferredOrigin(t *testing.T) {
+	const second = time.Second
+	tests := map[string]struct {
+		steps   func(*Table)
+		build   string
+		certain bool
+	}{
+		"inferred":                       {func(a *Table) { a.Record(inferred("a", "1", "r", 7, second), second) }, "1", false},
+		"its start answers later":        {func(a *Table) { a.Record(inferred("a", "1", "r", 7, second), second); a.Confirm("r", 7, 2*second) }, "1", true},
+		"its start answered at the time": {func(a *Table) { a.Record(inferred("a", "1", "r", 7, second), second); a.Confirm("r", 7, second) }, "1", true},
+		"its start answered before":      {func(a *Table) { a.Record(inferred("a", "1", "r", 7, second), second); a.Confirm("r", 7, second-1) }, "1", false},
+		"another start answers":          {func(a *Table) { a.Record(inferred("a", "1", "r", 7, second), second); a.Confirm("r", 8, 2*second) }, "1", false},
+		"another replica answers":        {func(a *Table) { a.Record(inferred("a", "1", "r", 7, second), second); a.Confirm("s", 7, 2*second) }, "1", false},
+		"a certain one is learnt":        {func(a *Table) { a.Record(inferred("a", "1", "r", 7, second), second); a.Learn(entry("a", "2"), second) }, "2", true},
+		"a certain one stays":            {func(a *Table) { a.Record(entry("a", "1"), 0); a.Learn(inferred("a", "2", "r", 7, second), second) }, "1", true},
+		"the first inferred one stays": {func(a *Table) {
+			a.Record(inferred("a", "1", "r", 7, second), second)
+			a.Learn(inferred("a", "2", "s", 7, second), second)
+		}, "1", false},
+		"one inferred from nothing": {func(a *Table) { a.Record(inferred("a", "?", "", 0, second), second); a.Confirm("", 0, 2*second) }, "?", false},
+		"evidence for one inferred from nothing": {func(a *Table) {
+			a.Record(inferred("a", "?", "", 0, second), second)
+			a.Learn(inferred("a", "1", "r", 7, second), second)
+			a.Confirm("r", 7, 2*second)
+		}, "1", true},
+		"recorded anew": {func(a *Table) {
+			a.Record(inferred("a", "1", "r", 7, second), second)
+			a.Record(inferred("a", "2", "s", 7, second), second)
+			a.Confirm("r", 7, 2*second)
+		}, "2", false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := NewTable(8, 10*second)
+			tt.steps(a)
+			got, known := a.Use("a", 2*second)
+			is.True(known)
+			is.Equal(got.Build, tt.build)
+			is.Equal(got.Certain(), tt.certain)
+			is.Equal(len(a.Unconfirmed("h", 2*second)) > 0, !tt.certain && got.Inference.Replica != "")
+			is.Equal(len(a.Unconfirmed("other", 2*second)), 0)
+			is.Equal(len(a.Unconfirmed("h", 20*second)), 0)
+			is.Equal(len(a.inferred), 0)
+		})
+	}
+}
