The namespace that teams share changes with the set of dedicated teams

Cause: all teams that are not dedicated shared one namespace under the same name, whatever team left it.

Evidence: the record shows these parts under "m0/1/" before and after the change, the dedicated team's own requests under a namespace of its own, and no copies.

Change: the shared namespace bears a hash of the names of the dedicated teams. It depends on the configuration alone, so that hosts that restart or lag never use or fill one that holds parts of a team which is dedicated. A dedicated team without a name, which the property test drew, no longer has the shared namespace.

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -51,8 +51,12 @@
 	tryAnotherReplica
 )
 
-// errRetryBudget means that another send would exceed the retry budget.
-var errRetryBudget = errors.New("the retry budget is used up")
+var (
+	// errRetryBudget means that another send would exceed the retry budget.
+	errRetryBudget = errors.New("the retry budget is used up")
+	// errConfigChanged means that a call was built from a configuration that is no longer in force.
+	errConfigChanged = errors.New("the configuration has changed")
+)
 
 type (
 	attemptResult int
@@ -192,11 +196,7 @@
 // cacheSalt returns the namespace of cached prompt parts, which separates versions of the
 // weights and dedicated teams.
 func (q *request) cacheSalt(version int64) string {
-	team := ""
-	if q.team != nil && q.team.Dedicated {
-		team = q.team.Name
-	}
-	return fmt.Sprintf("%s/%d/%s", q.caller.Model, version, team)
+	return fmt.Sprintf("%s/%d/%s", q.caller.Model, version, q.snapshot.catalog.CacheNamespace(q.team))
 }
 
 // cacheStores returns the KV cache stores for requests to an engine, nil for others.
@@ -396,7 +396,7 @@
 func (q *request) handleNoAnswer(ctx context.Context, c fpbalance.Choice, err, cause error) attemptResult {
 	g := q.gateway
 	switch {
-	case errors.IsAny(err, errNotTaken, errStartUnknown, errRestarted):
+	case errors.IsAny(err, errNotTaken, errStartUnknown, errRestarted, errConfigChanged):
 	case fpconn.DialFailed(err) && ctx.Err() == nil:
 		q.unreached = true
 		g.recordNoConnection(c.Replica.ID, err)
--- a/internal/fpgateway/start.go
+++ b/internal/fpgateway/start.go
@@ -63,13 +63,16 @@
 		return nil
 	}
 	switch q.confirmConnection(ctx, r, c, startWait) {
-	case startConfirmed:
-		return nil
 	case startReplaced:
 		return errRestarted
-	default:
+	case startUnknown:
 		return errStartUnknown
 	}
+	// The call was built before the wait.
+	if q.gateway.snapshot.Load().catalog != q.snapshot.catalog {
+		return errConfigChanged
+	}
+	return nil
 }
 
 // confirmConnection tells whether a connection to a replica leads to its registered start. A connection ends with the
--- a/pkg/fpcatalog/catalog.go
+++ b/pkg/fpcatalog/catalog.go
@@ -1,6 +1,9 @@
 package fpcatalog
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -8,8 +11,12 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// ranksPerTeamPriority is the number of request ranks that each team priority spans.
-const ranksPerTeamPriority = 3
+const (
+	// ranksPerTeamPriority is the number of request ranks that each team priority spans.
+	ranksPerTeamPriority = 3
+	// namespaceHashBytes is the length of the hash of the dedicated teams in a cache namespace.
+	namespaceHashBytes = 8
+)
 
 // New builds the catalog of a document and its indices.
 func New(d Document) *Catalog {
@@ -35,9 +42,40 @@
 	for i := range d.Services {
 		c.servicesByName[d.Services[i].Name] = &d.Services[i]
 	}
+	c.sharedNamespace = sharedNamespace(d.Teams)
 	return c
 }
 
+// sharedNamespace returns the cache namespace of all teams that are not dedicated.
+func sharedNamespace(teams []Team) string {
+	var dedicated []string
+	for _, t := range teams {
+		if t.Dedicated {
+			dedicated = append(dedicated, url.PathEscape(t.Name))
+		}
+	}
+	if len(dedicated) == 0 {
+		return ""
+	}
+	slices.Sort(dedicated)
+	sum := sha256.Sum256([]byte(strings.Join(slices.Compact(dedicated), "/")))
+	return "/" + hex.EncodeToString(sum[:namespaceHashBytes])
+}
+
+// CacheNamespace returns the namespace of the cached prompt parts of a team's requests, nil for requests without a team:
+// a dedicated team's own, or the one that all others share. The shared one has another name for each set of
+// dedicated teams, so that it never holds parts of a team that has become dedicated.
+func (c *Catalog) CacheNamespace(t *Team) string {
+	switch {
+	case t == nil || !t.Dedicated:
+		return c.sharedNamespace
+	case t.Name == "":
+		return "/"
+	default:
+		return url.PathEscape(t.Name)
+	}
+}
+
 // Version returns the document's version.
 func (c *Catalog) Version() uint64 { return c.document.Version }
 
--- a/pkg/fpcatalog/catalog_test.go
+++ b/pkg/fpcatalog/catalog_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 func TestRoute(t *testing.T) {
@@ -73,3 +74,61 @@
 		t.Run(name, func(t *testing.T) { is.New(t).Equal(tt.route.Repeatable(), tt.want) })
 	}
 }
+
+// TestCacheNamespaceHoldsNoDedicatedParts lets teams become dedicated and cease to be so, at hosts some of which use an
+// earlier configuration. A namespace that two teams use must hold no part of a team that is dedicated where it is used,
+// or was where the part was made.
+func TestCacheNamespaceHoldsNoDedicatedParts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c", "a/b", "/", ""}
+		var history []*Catalog
+		makers := make(map[string]map[string]bool)
+		for version := range rapid.IntRange(1, 12).Draw(t, "versions") {
+			var teams []Team
+			for _, n := range names {
+				if rapid.Bool().Draw(t, "present") {
+					teams = append(teams, Team{Name: n, Dedicated: rapid.Bool().Draw(t, "dedicated")})
+				}
+			}
+			history = append(history, New(Document{Version: uint64(version), Teams: teams}))
+			c := history[rapid.IntRange(0, version).Draw(t, "in force at the host")]
+			for i := range c.document.Teams {
+				team := &c.document.Teams[i]
+				namespace := c.CacheNamespace(team)
+				if makers[namespace] == nil {
+					makers[namespace] = make(map[string]bool)
+				}
+				makers[namespace][team.Name] = true
+				for _, other := range c.document.Teams {
+					shared := other.Name != team.Name && makers[namespace][other.Name]
+					if shared && (team.Dedicated || other.Dedicated) {
+						t.Fatalf("version %d: team %q uses parts of %q in namespace %q", c.Version(), team.Name, other.Name, namespace)
+					}
+				}
+			}
+		}
+	})
+}
+
+func TestCacheNamespace(t *testing.T) {
+	team := func(name string, dedicated bool) Team { return Team{Name: name, Dedicated: dedicated} }
+	namespace := func(name string, teams ...Team) string {
+		c := New(Document{Teams: teams})
+		for i := range c.document.Teams {
+			if c.document.Teams[i].Name == name {
+				return c.CacheNamespace(&c.document.Teams[i])
+			}
+		}
+		return c.CacheNamespace(nil)
+	}
+	is := is.New(t)
+	before := []Team{team("a", false), team("b", false)}
+	after := []Team{team("b", false), team("a", true)}
+	is.Equal(namespace("a", before...), "") // as in former builds
+	is.Equal(namespace("b", before...), "")
+	is.Equal(namespace("a", after...), "a") // as in former builds
+	is.True(namespace("b", after...) != namespace("b", before...))
+	is.Equal(namespace("b", after...), namespace("c", append(after, team("c", false))...)) // shared
+	is.Equal(namespace("b", after...), namespace("", after...))                            // without a team
+	is.Equal(namespace("b", after...), namespace("b", team("a", true), team("b", false)))  // in any order
+}
--- a/pkg/fpcatalog/types.go
+++ b/pkg/fpcatalog/types.go
@@ -108,5 +108,7 @@
 		routesByHost   map[string][]*Route
 		teamsByKey     map[string]*Team
 		servicesByName map[string]*Service
+		// sharedNamespace is the cache namespace of all teams that are not dedicated.
+		sharedNamespace string
 	}
 )
