Attempts that a replica leaves unanswered speak against their request once the replica is proved to have crashed

Cause: only a connection that the replica ended left a trace of an attempt. One at a silent replica ends with its request's time or its caller, so that the proof of the crash, the entry that goes or the next start, found nothing to hold against anybody.

Change: pkg/fpquarantine.Silences keeps what a replica left unanswered while it was alive, by its signs of life, until the replica goes on (a pause), its start answers a question, or proof of a crash comes; attempts that wait at that moment and those that end later count too. Attempts at a replica that may have ended before are no evidence: the request gets a new connection next time, which proves that the replica lives. Silence alone convicts nothing.

--- a/internal/fpconn/pool.go
+++ b/internal/fpconn/pool.go
@@ -62,6 +62,9 @@
 // acquireConn returns an idle connection that was last used less than maxIdle ago and on which no call
 // with the key was refused, or a new one.
 func (p *Pool) acquireConn(ctx context.Context, address string, maxIdle time.Duration, key string) (*conn, error) {
+	if maxIdle <= 0 {
+		return p.dial(ctx, address)
+	}
 	now := p.clock()
 	for {
 		c := p.popIdle(address)
--- a/internal/fpgateway/crash.go
+++ b/internal/fpgateway/crash.go
@@ -53,7 +53,7 @@
 // whether the replica crashed.
 func (g *Gateway) recordBrokenAttempt(r fpbalance.Replica, a brokenAttempt) {
 	if g.addBrokenAttempt(r, a) {
-		g.reportCrash(r.ID, []brokenAttempt{a})
+		g.reportCrash(r.ID, []brokenAttempt{a}, a.at)
 	}
 }
 
@@ -113,22 +113,25 @@
 	}
 }
 
-// recordCrash records proof that a replica crashed, unless no attempt broke at it or its crash is
-// known.
+// recordCrash records proof that a replica crashed, unless it broke off no attempt and left none unanswered, or its crash
+// is known.
 func (g *Gateway) recordCrash(id, proof string) {
 	g.mu.Lock()
-	b := g.brokenReplicas[id]
-	if b == nil || b.crashed {
-		g.mu.Unlock()
-		return
+	broken, at := g.silences.Crash(id, g.clock())
+	unanswered := len(broken)
+	broken = append(broken, g.silentAttempts(id)...)
+	if b := g.brokenReplicas[id]; b != nil && !b.crashed {
+		b.crashed = true
+		broken, at = append(slices.Clone(b.attempts), broken...), b.attempts[0].at
 	}
-	b.crashed = true
-	broken := slices.Clone(b.attempts)
 	g.mu.Unlock()
+	if len(broken) == 0 {
+		return
+	}
 	g.metrics.AddToCounter("replica_crashes", 1)
-	g.log("replica crashed", "Replica", id, "Proof", proof, "Broken", len(broken), "Parts", formatCounts(countParts(broken)),
+	g.log("replica crashed", "Replica", id, "Proof", proof, "Broken", len(broken), "Unanswered", unanswered, "SilentFor", (g.clock() - at).String(), "Parts", formatCounts(countParts(broken)),
 		"Fingerprints", formatCounts(countFingerprints(broken)))
-	g.reportCrash(id, broken)
+	g.reportCrash(id, broken, at)
 }
 
 // countParts returns the number of broken attempts by the ID of a shared prompt part.
@@ -173,13 +176,20 @@
 	return ids
 }
 
-// noteBrokenAttempt records the attempt if its replica broke it off.
+// noteBrokenAttempt records the attempt if its replica broke it off, or left it unanswered.
 func (q *request) noteBrokenAttempt(c fpbalance.Choice, err error) {
-	if !fpconn.ClosedByPeer(err) {
-		return
+	switch {
+	case fpconn.ClosedByPeer(err):
+		q.broken = true
+		q.gateway.recordBrokenAttempt(c.Replica, q.brokenAttempt())
+	case errors.Is(err, fpconn.ErrIncompleteResponse):
+		q.gateway.recordUnanswered(c.Replica.ID, q.brokenAttempt())
 	}
-	q.broken = true
-	q.gateway.recordBrokenAttempt(c.Replica, brokenAttempt{
+}
+
+// brokenAttempt describes the last attempt, which ends now without a complete answer.
+func (q *request) brokenAttempt() brokenAttempt {
+	return brokenAttempt{
 		at: q.gateway.clock(), sentAt: q.sentAt, parts: q.sharedParts, fingerprint: q.fingerprint, trial: len(q.suspects) > 0,
-	})
+	}
 }
--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -269,6 +269,7 @@
 		g.recordRoundTrip(c.Replica, a.ConnectTime)
 	}
 	q.sends++
+	g.hear(c.Replica.ID, g.clock())
 	reply := g.dialect.DecodeReply(a.Status, a.Header)
 	q.recordReply(c, reply, sentAt)
 	q.recordIntake(c, a, reply)
@@ -322,6 +323,7 @@
 		MaxIdle: q.maxIdle(),
 		Key:     q.caller.ID,
 		Check: func(n fpconn.Connection) error {
+			q.gateway.hear(c.Replica.ID, n.OpenedAt())
 			if err := q.requireStart(ctx, c.Replica, n); err != nil {
 				return err
 			}
@@ -333,10 +335,14 @@
 
 // maxIdle returns how recently a kept connection must have been used to carry the request.
 func (q *request) maxIdle() time.Duration {
-	if q.route.Repeatable() {
+	switch {
+	case q.needsNewConnection():
+		return 0
+	case q.route.Repeatable():
 		return maxIdleRepeatable
+	default:
+		return maxIdleOnce
 	}
-	return maxIdleOnce
 }
 
 // acceptsAnswer reports whether an answer with the header may be the request's.
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
 	"github.com/fescuepoint/fescuepoint/pkg/fplimit"
 	"github.com/fescuepoint/fescuepoint/pkg/fporigin"
+	"github.com/fescuepoint/fescuepoint/pkg/fpquarantine"
 )
 
 const (
@@ -98,6 +99,10 @@
 		// brokenReplicas holds the replicas that broke off answers, by ID.
 		brokenReplicas map[string]*brokenReplica
 		quarantine     *quarantine
+		// silences holds the attempts that replicas left unanswered, and uncertain when requests were, by ID,
+		// that may have been sent to a replica which had ended before.
+		silences  fpquarantine.Silences[brokenAttempt]
+		uncertain map[string]time.Duration
 		// origins holds at which software version each stream began.
 		origins *fporigin.Table
 		// currentBuilds reads the software versions in service from the store.
@@ -138,6 +143,7 @@
 
 		brokenReplicas: make(map[string]*brokenReplica),
 		quarantine:     newQuarantine(),
+		uncertain:      make(map[string]time.Duration),
 		origins:        fporigin.NewTable(maxOrigins, originRetention(nil)),
 
 		limitsAnnouncedAt:   make(map[string]time.Duration),
@@ -175,7 +181,7 @@
 	rollout := newRollout(g)
 	for _, f := range []func(context.Context) error{
 		g.logQueue.Run, g.runControl, follower.Run, g.maintainHostEntry, rollout.run, g.runEventReaders, g.receiveNotices, g.applyReloads,
-		g.runQuarantine, g.storeQuarantine, g.shareOrigins, g.confirmOwnOrigins, g.storeBuilds, g.probeUnreachable,
+		g.runQuarantine, g.storeQuarantine, g.shareOrigins, g.confirmOwnOrigins, g.storeBuilds, g.probeUnreachable, g.checkSilentReplicas,
 	} {
 		taskCtx, stop := context.WithCancel(inner)
 		r.Add(func() error { return f(taskCtx) }, func(error) { stop() })
--- a/internal/fpgateway/log.go
+++ b/internal/fpgateway/log.go
@@ -91,7 +91,12 @@
 // forgetRestartedReplica drops the balancer's state and the kept connections of an earlier start
 // of a replica.
 func (g *Gateway) forgetRestartedReplica(r fpfleet.Replica) {
-	g.recordCrash(r.ID, "restarted")
+	g.mu.Lock()
+	seen := g.seenStarts[r.ID].startUnixMilli == r.StartUnixMilli
+	g.mu.Unlock()
+	if !seen {
+		g.recordCrash(r.ID, "restarted")
+	}
 	g.dropBrokenAttempts(r.ID)
 	g.forgetReplica(r.ID)
 	g.pool.CloseIdle(r.Address)
--- a/internal/fpgateway/quarantine.go
+++ b/internal/fpgateway/quarantine.go
@@ -104,13 +104,13 @@
 	return parts
 }
 
-// reportCrash takes the broken attempts of a crash as evidence and sends it to the other hosts.
-func (g *Gateway) reportCrash(replica string, broken []brokenAttempt) {
+// reportCrash takes the broken attempts of a crash at a time as evidence and sends it to the other hosts.
+func (g *Gateway) reportCrash(replica string, broken []brokenAttempt, at time.Duration) {
 	now := g.clock()
 	parts := crashedParts(broken)
-	g.recordCrashEvidence(replica, parts, broken[0].at)
+	g.recordCrashEvidence(replica, parts, at)
 	peers := g.snapshot.Load().allPeers
-	report := fpnotice.ReplicaCrash{Replica: replica, AgeMs: (now - broken[0].at).Milliseconds()}
+	report := fpnotice.ReplicaCrash{Replica: replica, AgeMs: (now - at).Milliseconds()}
 	forEachNotice(parts, func(p fpquarantine.Part) string { return p.ID }, func(chunk []fpquarantine.Part) {
 		c := report
 		for _, p := range chunk {
@@ -206,6 +206,9 @@
 func (g *Gateway) recordWholeAnswer(ids []string, sentAt time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	for _, id := range ids {
+		delete(g.uncertain, id)
+	}
 	g.scheduleAnnouncements(g.quarantine.tracker.RecordAnswer(ids, sentAt))
 }
 
--- a/internal/fpgateway/quarantine_test.go
+++ b/internal/fpgateway/quarantine_test.go
@@ -27,8 +27,10 @@
 	afterReaction    = 3 * time.Second
 	deadlyInterval   = 150 * time.Millisecond
 	harmlessInterval = 15 * time.Millisecond
-	// replicaDowntime is how long a crashed replica is away.
+	// replicaDowntime is how long a crashed replica is away, and silentDowntime one that falls silent, whose
+	// entry takes long to go.
 	replicaDowntime = 400 * time.Millisecond
+	silentDowntime  = 2 * time.Second
 	// minServedShare is the least share of harmless requests that are served once the deadly ones
 	// are kept from replicas.
 	minServedShare = 0.5
@@ -49,12 +51,14 @@
 		engines []*fpfake.Replica
 		crashes []time.Time
 		closed  bool
+		// downtime is how long a crashed replica is away.
+		downtime time.Duration
 	}
 )
 
 // newCrashingFleet registers the given number of replicas.
 func newCrashingFleet(tc *testCluster, service, model string, count int, settle func(*fpfake.Replica)) *crashingFleet {
-	f := &crashingFleet{tc: tc, service: service, model: model, settle: settle}
+	f := &crashingFleet{tc: tc, service: service, model: model, settle: settle, downtime: replicaDowntime}
 	for range count {
 		f.start()
 	}
@@ -81,11 +85,12 @@
 	e.OnCrash = sync.OnceFunc(func() {
 		f.mu.Lock()
 		f.crashes = append(f.crashes, time.Now())
+		downtime := f.downtime
 		f.mu.Unlock()
 		if f.onCrash != nil {
 			f.onCrash(e)
 		}
-		time.AfterFunc(replicaDowntime, func() {
+		time.AfterFunc(downtime, func() {
 			f.tc.store.Delete("servers/" + e.ID)
 			f.start()
 		})
@@ -94,6 +99,13 @@
 	f.tc.store.Put("servers/"+e.ID, e.Registration("ready"))
 }
 
+// setDowntime sets how long replicas are away that crash from now on.
+func (f *crashingFleet) setDowntime(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.downtime = d
+}
+
 // crashOne crashes the replica that started last.
 func (f *crashingFleet) crashOne() {
 	f.mu.Lock()
--- a/internal/fpgateway/relay.go
+++ b/internal/fpgateway/relay.go
@@ -66,6 +66,7 @@
 		return q.handleIncompleteAnswer(ctx, c, err)
 	}
 	q.appendTrail("%s %d", c.Replica.ID, a.Status)
+	q.gateway.hear(c.Replica.ID, q.gateway.clock())
 	if a.Status < 500 {
 		q.gateway.recordSuccess(c.Replica.ID)
 	}
@@ -172,6 +173,7 @@
 			onFirstByte = nil
 			q.gateway.recordSuccess(c.Replica.ID)
 		}
+		q.gateway.hear(c.Replica.ID, q.gateway.clock())
 		if err := q.writeEvent(event); err != nil {
 			q.appendTrail("caller: %v", err)
 			q.reason = "the caller left"
--- a/internal/fpgateway/repeat_test.go
+++ b/internal/fpgateway/repeat_test.go
@@ -29,21 +29,35 @@
 
 // TestRepeatedRequestEndsReplicaAfterReplica sends one request that crashes each replica that begins to run
 // it again and again as it was, through all hosts, amid harmless ones, and checks that soon it reaches no
-// replica, also through a host that starts later, and that the harmless ones are served.
+// replica, also through a host that starts later, and that the harmless ones are served. The silent ones guard against
+// crashes that leave no broken connection to blame anything for.
 func TestRepeatedRequestEndsReplicaAfterReplica(t *testing.T) {
 	tests := map[string]struct {
 		route, service, model string
 		replicas              int
 		// retried says that the caller sends the request once more after a broken answer.
 		retried bool
+		// silent says that the replicas fall silent as they crash, and patience is how long the callers of the deadly
+		// request wait then.
+		silent   bool
+		patience time.Duration
 	}{
 		"idempotent call":          {route: "read", service: "app", replicas: 3, retried: true},
 		"call that may run once":   {route: "call", service: "app", replicas: 3},
 		"stream that may run once": {route: "chat", service: "llm", model: "m", replicas: 5},
 		"resumable stream":         {route: "hint", service: "llm", model: "m", replicas: 5, retried: true},
+
+		"silent, idempotent call":          {route: "read", service: "app", replicas: 6, silent: true, patience: time.Minute},
+		"silent, call that may run once":   {route: "call", service: "app", replicas: 6, silent: true, patience: time.Minute},
+		"silent, stream that may run once": {route: "chat", service: "llm", model: "m", replicas: 6, silent: true, patience: time.Minute},
+		"silent, resumable stream":         {route: "hint", service: "llm", model: "m", replicas: 6, silent: true, patience: time.Minute},
+		"silent, the caller leaves":        {route: "read", service: "app", replicas: 6, silent: true, patience: 200 * time.Millisecond},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			if tt.silent {
+				t.Parallel()
+			}
 			is := is.New(t)
 			tc := prepareTestCluster(t)
 			for _, r := range append(append([]*fpfake.Replica{}, tc.engines...), tc.serviceReplicas...) {
@@ -51,7 +65,12 @@
 					tc.store.Delete("servers/" + r.ID)
 				}
 			}
-			f := newCrashingFleet(tc, tt.service, tt.model, tt.replicas, func(r *fpfake.Replica) { r.CrashQuery = deadlyQuery })
+			f := newCrashingFleet(tc, tt.service, tt.model, tt.replicas, func(r *fpfake.Replica) {
+				r.CrashQuery, r.CrashesSilently = deadlyQuery, tt.silent
+			})
+			if tt.silent {
+				f.setDowntime(silentDowntime)
+			}
 			tc.chooseAddresses()
 			tc.store.Put("op/config", configDocument(1))
 			other, _ := tc.addHost(func(*fpgateway.Settings) {})
@@ -83,7 +102,13 @@
 				countLate(began, r)
 			})
 			sendEvery(&wg, stop, repeatInterval, func(i int) {
-				r := hosts[i%len(hosts)].sendNumberedRequest(tt.route, 2_000_000+2*i, deadly)
+				change := deadly
+				if tt.silent {
+					ctx, cancel := context.WithTimeout(context.Background(), tt.patience)
+					defer cancel()
+					change = func(q *http.Request) { deadly(q); *q = *q.WithContext(ctx) }
+				}
+				r := hosts[i%len(hosts)].sendNumberedRequest(tt.route, 2_000_000+2*i, change)
 				if tt.retried && (r.err != nil || r.status == http.StatusBadGateway) {
 					fpclock.Sleep(context.Background(), retryDelay)
 					r = hosts[(i+1)%len(hosts)].sendNumberedRequest(tt.route, 2_000_000+2*i+1, deadly)
--- /dev/null
+++ b/internal/fpgateway/silence.go
@@ -0,0 +1,112 @@
+package fpgateway
+
+import (
+	"context"
+	"maps"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
+	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
+	"github.com/fescuepoint/fescuepoint/pkg/fpquarantine"
+)
+
+const (
+	// silenceCheckInterval is the interval at which silent replicas are looked for, and silenceRetryPause the pause
+	// between two reads of the status report of one.
+	silenceCheckInterval = 500 * time.Millisecond
+	silenceRetryPause    = time.Second
+	// uncertainTTL is how long a request is remembered that may have been sent to a replica which had ended before, and
+	// maxUncertain bounds such requests.
+	uncertainTTL = 10 * time.Minute
+	maxUncertain = 4096
+)
+
+// hear records a sign of life of a replica.
+func (g *Gateway) hear(id string, at time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.silences.Hear(id, at)
+}
+
+// recordUnanswered records an attempt that ended without a complete answer, though its replica did not break it off. It is
+// evidence only once the replica is proved to have crashed.
+func (g *Gateway) recordUnanswered(id string, a brokenAttempt) {
+	g.mu.Lock()
+	verdict, since := g.silences.Add(id, a.sentAt, a)
+	if verdict == fpquarantine.Uncertain {
+		g.rememberUncertain(requestIDPrefix+a.fingerprint, a.at)
+	}
+	g.mu.Unlock()
+	if verdict == fpquarantine.Crashed {
+		g.reportCrash(id, []brokenAttempt{a}, since)
+	}
+}
+
+// rememberUncertain has a request sent over new connections for some time, which prove that the replica is alive as it is
+// sent. The gateway's mutex must be held.
+func (g *Gateway) rememberUncertain(id string, now time.Duration) {
+	if len(g.uncertain) >= maxUncertain {
+		maps.DeleteFunc(g.uncertain, func(_ string, at time.Duration) bool { return now-at >= uncertainTTL })
+	}
+	if len(g.uncertain) < maxUncertain {
+		g.uncertain[id] = now
+	}
+}
+
+// needsNewConnection reports whether an earlier attempt of the request got no answer from a replica that may have ended
+// before.
+func (q *request) needsNewConnection() bool {
+	g := q.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at, ok := g.uncertain[requestIDPrefix+q.fingerprint]
+	return ok && g.clock()-at < uncertainTTL
+}
+
+// silentAttempts returns the attempts that wait for an answer from a replica that has crashed. The gateway's mutex must be
+// held.
+func (g *Gateway) silentAttempts(id string) []brokenAttempt {
+	var out []brokenAttempt
+	for q := range g.quarantine.unbegun {
+		if q.choice.Replica.ID != id {
+			continue
+		}
+		if v, _ := g.silences.Judge(id, q.sentAt); v == fpquarantine.Crashed {
+			out = append(out, q.brokenAttempt())
+		}
+	}
+	return out
+}
+
+// checkSilentReplicas asks replicas for their start, until the context ends, that left attempts unanswered and were not
+// heard since.
+func (g *Gateway) checkSilentReplicas(ctx context.Context) error {
+	// askAt holds until when a replica is not asked again, by ID.
+	askAt := make(map[string]time.Duration)
+	for fpclock.Sleep(ctx, silenceCheckInterval) {
+		now := g.clock()
+		maps.DeleteFunc(askAt, func(_ string, at time.Duration) bool { return now >= at })
+		g.mu.Lock()
+		g.silences.Expire(now)
+		pending := g.silences.Pending()
+		g.mu.Unlock()
+		for _, id := range pending {
+			r, registered := g.snapshot.Load().registration(id)
+			_, asked := askAt[id]
+			if asked || !registered || g.pauseLeft(fpbalance.Replica{ID: id, StartUnixMilli: r.StartUnixMilli}) > 0 {
+				continue
+			}
+			askAt[id] = now + silenceRetryPause
+			go func() {
+				if _, err := g.startReader(id).Get(ctx); errors.Is(err, syscall.ECONNREFUSED) {
+					g.recordNoConnection(id, err)
+					g.recordCrash(id, "connection refused")
+				}
+			}()
+		}
+	}
+	return nil
+}
--- a/internal/fpgateway/start.go
+++ b/internal/fpgateway/start.go
@@ -150,9 +150,13 @@
 		g.log("replica restarted before its registration", "Replica", r.ID, "Start", start, "Registered", r.StartUnixMilli)
 		g.recordStart(id, seenStart{start, asked})
 		g.pauseReplica(id, r.StartUnixMilli, restartedPause)
+		g.recordCrash(id, "another start answers")
 		return start, nil
 	}
 	g.recordStart(id, seenStart{r.StartUnixMilli, asked})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.silences.HearStart(id, asked, g.clock())
 	return start, nil
 }
 
