--- a/pkg/fpquarantine/silence.go
+++ b/pkg/fpquarantine/silence.go
@@ -17,11 +17,13 @@
 )
 
 const (
-	// Answering means that the replica goes on answering, Silent that it may have crashed under the attempt, Crashed that it
-	// has, and Uncertain that it may have ended before the attempt was sent.
+	// Answering means that the replica goes on answering.
 	Answering Verdict = iota + 1
+	// Silent means that the replica may have crashed under the attempt.
 	Silent
+	// Crashed means that the replica has crashed, under the attempt maybe.
 	Crashed
+	// Uncertain means that the replica may have ended before the attempt was sent.
 	Uncertain
 )
 
