--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -50,5 +50,5 @@
 go build -o bin/ ./cmd/...
 bash scripts/run.sh
 
-echo "== soak, two seeds"
-bin/fescuesoak --first 1 --seeds 2 --beside 2 --faults 4s
+echo "== soak, three seeds"
+bin/fescuesoak --first 1 --seeds 3 --beside 3 --faults 4s
