A replica whose entry goes while it serves on is no crash under what it runs; a connection alone is no answer

Seen: TestEntryGoesOfReplicaThatServes, without this change: requests that wait at a replica whose entry is deleted though it serves on were taken for evidence of a crash. No caller has seen it; the evidence would count against prompt parts.

Cause: proof of a crash was held against all that waited, also where the replica had been heard a moment before, and an accepted connection counted like bytes of an answer.

Change: proof counts only against attempts after which the replica was silent for more than a pause. A connection proves that the replica was alive as an attempt was sent, not that it goes on answering.

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -323,7 +323,7 @@
 		MaxIdle: q.maxIdle(),
 		Key:     q.caller.ID,
 		Check: func(n fpconn.Connection) error {
-			q.gateway.hear(c.Replica.ID, n.OpenedAt())
+			q.gateway.recordConnection(c.Replica.ID, n.OpenedAt())
 			if err := q.requireStart(ctx, c.Replica, n); err != nil {
 				return err
 			}
--- a/internal/fpgateway/silence.go
+++ b/internal/fpgateway/silence.go
@@ -24,7 +24,14 @@
 	maxUncertain = 4096
 )
 
-// hear records a sign of life of a replica.
+// recordConnection records when a replica accepted a connection.
+func (g *Gateway) recordConnection(id string, at time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.silences.Accept(id, at)
+}
+
+// hear records that bytes of an answer came from a replica.
 func (g *Gateway) hear(id string, at time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/fpgateway/silence_test.go
+++ b/internal/fpgateway/silence_test.go
@@ -76,3 +76,25 @@
 		})
 	}
 }
+
+// TestEntryGoesOfReplicaThatServes deletes the entries of replicas that serve on, without a word, while requests run there.
+// It guards against taking that for a crash under these requests.
+func TestEntryGoesOfReplicaThatServes(t *testing.T) {
+	is := is.New(t)
+	tc := newTestCluster(t)
+	for _, e := range tc.engines {
+		e.StreamEvents = 1
+		e.SetEventDelay(1200 * time.Millisecond)
+	}
+	var clients sync.WaitGroup
+	for i := range 6 {
+		clients.Go(func() { is.Equal(tc.sendNumberedRequest("chat", 100+i).status, http.StatusOK) })
+	}
+	tc.waitFor(func() bool { return len(tc.allRuns()) == 6 }, "running")
+	for _, e := range tc.engines {
+		tc.store.Delete("servers/" + e.ID)
+	}
+	tc.waitFor(func() bool { return countLines(tc.linesWith("replica entry deleted")) == len(tc.engines) }, "entries deleted")
+	clients.Wait()
+	is.Equal(tc.linesWith("replica crashed"), "")
+}
--- a/pkg/fpquarantine/silence.go
+++ b/pkg/fpquarantine/silence.go
@@ -41,6 +41,8 @@
 	// silence holds the signs of life of one replica. The times are 0 if there was none.
 	silence[A any] struct {
 		heardAt time.Duration
+		// acceptedAt is when the replica last accepted a connection: it was alive then, but may not answer any more.
+		acceptedAt time.Duration
 		// resumedAt is when the replica was heard after a silence of more than maxPause, which began at silentFrom
 		// and may have hidden a restart.
 		silentFrom time.Duration
@@ -66,7 +68,13 @@
 	return s.replicas[id]
 }
 
-// Hear records a sign of life of a replica: a connection that it accepted, or bytes of an answer.
+// Accept records that a replica accepted a connection.
+func (s *Silences[A]) Accept(replica string, at time.Duration) {
+	l := s.replica(replica)
+	l.acceptedAt = max(l.acceptedAt, at)
+}
+
+// Hear records that bytes of an answer came from a replica.
 func (s *Silences[A]) Hear(replica string, at time.Duration) {
 	l := s.replica(replica)
 	if at <= l.heardAt {
@@ -98,7 +106,7 @@
 		return Answering, 0
 	case sentAt > lastSign+maxPause:
 		return Uncertain, 0
-	case sentAt <= l.crashedAt:
+	case sentAt <= l.crashedAt && l.silentAfter(sentAt, l.crashedAt):
 		return Crashed, max(lastSign, sentAt)
 	default:
 		return Silent, max(lastSign, sentAt)
@@ -121,12 +129,22 @@
 	return l.heardAt > sentAt+maxPause && l.resumedAt <= sentAt
 }
 
+// silentAfter reports whether the replica was silent for more than a pause after an attempt was sent, at some time up to
+// the present. One whose entry goes although it serves on is not.
+func (l *silence[A]) silentAfter(sentAt, now time.Duration) bool {
+	return l.resumedAt > sentAt || now-max(l.heardAt, sentAt) > maxPause
+}
+
 // lastSignBefore returns the last sign of life before the silence after an attempt was sent.
 func (l *silence[A]) lastSignBefore(sentAt time.Duration) time.Duration {
+	sign := l.heardAt
 	if l.resumedAt > sentAt {
-		return l.silentFrom
+		sign = l.silentFrom
+	}
+	if l.acceptedAt <= sentAt+maxPause {
+		sign = max(sign, min(l.acceptedAt, sentAt))
 	}
-	return l.heardAt
+	return sign
 }
 
 // Crash records proof that a replica crashed. It returns the attempts that were sent while it was alive and not answered,
@@ -136,8 +154,10 @@
 	var out []A
 	since := now
 	for _, u := range l.unanswered {
-		out = append(out, u.attempt)
-		since = min(since, max(l.lastSignBefore(u.sentAt), u.sentAt))
+		if l.silentAfter(u.sentAt, now) {
+			out = append(out, u.attempt)
+			since = min(since, max(l.lastSignBefore(u.sentAt), u.sentAt))
+		}
 	}
 	l.crashedAt, l.unanswered = now, nil
 	return out, since
@@ -158,6 +178,6 @@
 func (s *Silences[A]) Expire(now time.Duration) {
 	maps.DeleteFunc(s.replicas, func(_ string, l *silence[A]) bool {
 		l.unanswered = slices.DeleteFunc(l.unanswered, func(u unanswered[A]) bool { return now-u.sentAt > silenceTTL })
-		return len(l.unanswered) == 0 && now-max(l.heardAt, l.crashedAt) > silenceTTL
+		return len(l.unanswered) == 0 && now-max(l.heardAt, l.acceptedAt, l.crashedAt) > silenceTTL
 	})
 }
