One loop asks replicas for their starts; a report without a start counts as the registered one's alone

Seen in reading the change: the loops for inferred origins and for silent replicas were the same but for their lists, and a report that names no start would have confirmed an origin that was inferred from an earlier start than the registered one.

Change: askStarts serves both; such a report stands for the registered start. The tests of origins and of silent replicas pass.

--- a/internal/fpgateway/origin.go
+++ b/internal/fpgateway/origin.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
 	"github.com/fescuepoint/fescuepoint/pkg/fpcatalog"
 	"github.com/fescuepoint/fescuepoint/pkg/fporigin"
@@ -26,8 +24,6 @@
 	maxBuildRetention = 6 * time.Minute
 	// confirmOriginsInterval is the interval at which inferred origins are checked.
 	confirmOriginsInterval = 100 * time.Millisecond
-	// confirmRetryPause is the pause between two reads of a replica's start for inferred origins.
-	confirmRetryPause = time.Second
 )
 
 // errOriginUnknown means that nothing is known that could tell a stream's software version.
@@ -216,29 +212,21 @@
 // confirmOwnOrigins asks replicas for their start, until the context ends, whose starts were registered but could not be
 // asked as this host's streams began there.
 func (g *Gateway) confirmOwnOrigins(ctx context.Context) error {
-	// askAt holds until when a replica is not asked again, by ID.
-	askAt := make(map[string]time.Duration)
-	for fpclock.Sleep(ctx, confirmOriginsInterval) {
-		now := g.clock()
-		maps.DeleteFunc(askAt, func(_ string, at time.Duration) bool { return now >= at })
+	unconfirmed := func() []string {
 		g.mu.Lock()
-		unconfirmed := g.origins.Unconfirmed(g.settings().Host, now)
+		list := g.origins.Unconfirmed(g.settings().Host, g.clock())
 		g.mu.Unlock()
-		for _, i := range unconfirmed {
-			r, registered := g.snapshot.Load().registration(i.Replica)
-			_, asked := askAt[i.Replica]
-			if asked || !registered || r.StartUnixMilli != i.StartUnixMilli || g.pauseLeft(fpbalance.Replica{ID: r.ID, StartUnixMilli: r.StartUnixMilli}) > 0 {
-				continue
+		var ids []string
+		for _, i := range list {
+			if r, registered := g.snapshot.Load().registration(i.Replica); registered && r.StartUnixMilli == i.StartUnixMilli {
+				ids = append(ids, i.Replica)
 			}
-			askAt[i.Replica] = now + confirmRetryPause
-			go func() {
-				if _, err := g.startReader(i.Replica).Get(ctx); err != nil && ctx.Err() == nil {
-					g.log("replica start not read", "Replica", i.Replica, "Error", err.Error())
-				}
-			}()
 		}
+		return ids
 	}
-	return nil
+	return g.askStarts(ctx, confirmOriginsInterval, unconfirmed, func(id string, err error) {
+		g.log("replica start not read", "Replica", id, "Error", err.Error())
+	})
 }
 
 func (g *Gateway) setOriginRetention(c *fpcatalog.Catalog) {
--- a/internal/fpgateway/silence.go
+++ b/internal/fpgateway/silence.go
@@ -8,16 +8,12 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fescuepoint/fescuepoint/internal/fpclock"
-	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
 	"github.com/fescuepoint/fescuepoint/pkg/fpquarantine"
 )
 
 const (
-	// silenceCheckInterval is the interval at which silent replicas are looked for, and silenceRetryPause the pause
-	// between two reads of the status report of one.
+	// silenceCheckInterval is the interval at which silent replicas are looked for.
 	silenceCheckInterval = 500 * time.Millisecond
-	silenceRetryPause    = time.Second
 	// uncertainTTL is how long a request is remembered that may have been sent to a replica which had ended before, and
 	// maxUncertain bounds such requests.
 	uncertainTTL = 10 * time.Minute
@@ -91,29 +87,16 @@
 // checkSilentReplicas asks replicas for their start, until the context ends, that left attempts unanswered and were not
 // heard since.
 func (g *Gateway) checkSilentReplicas(ctx context.Context) error {
-	// askAt holds until when a replica is not asked again, by ID.
-	askAt := make(map[string]time.Duration)
-	for fpclock.Sleep(ctx, silenceCheckInterval) {
-		now := g.clock()
-		maps.DeleteFunc(askAt, func(_ string, at time.Duration) bool { return now >= at })
+	silent := func() []string {
 		g.mu.Lock()
-		g.silences.Expire(now)
-		pending := g.silences.Pending()
-		g.mu.Unlock()
-		for _, id := range pending {
-			r, registered := g.snapshot.Load().registration(id)
-			_, asked := askAt[id]
-			if asked || !registered || g.pauseLeft(fpbalance.Replica{ID: id, StartUnixMilli: r.StartUnixMilli}) > 0 {
-				continue
-			}
-			askAt[id] = now + silenceRetryPause
-			go func() {
-				if _, err := g.startReader(id).Get(ctx); errors.Is(err, syscall.ECONNREFUSED) {
-					g.recordNoConnection(id, err)
-					g.recordCrash(id, "connection refused")
-				}
-			}()
-		}
+		defer g.mu.Unlock()
+		g.silences.Expire(g.clock())
+		return g.silences.Pending()
 	}
-	return nil
+	return g.askStarts(ctx, silenceCheckInterval, silent, func(id string, err error) {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			g.recordNoConnection(id, err)
+			g.recordCrash(id, "connection refused")
+		}
+	})
 }
--- a/internal/fpgateway/start.go
+++ b/internal/fpgateway/start.go
@@ -1,11 +1,14 @@
 package fpgateway
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/internal/fpcoalesce"
 	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
@@ -17,6 +20,8 @@
 	// startReadTimeout bounds the read of a replica's start, and startReadOverlap is the least time from one to the next.
 	startReadTimeout = 3 * time.Second
 	startReadOverlap = 200 * time.Millisecond
+	// startRetryPause is the pause after which a replica is asked again that gave no answer.
+	startRetryPause = time.Second
 	// startWait is how long a stream that is to go on waits for proof of the start that it depends on.
 	startWait = startReadTimeout + startReadOverlap
 	// restartedPause is how long a replica gets no requests that has restarted, as far as its registration does not
@@ -115,12 +120,37 @@
 	case err != nil:
 		q.appendTrail("%s start not read: %v", id, err)
 		return startUnknown
-	case start != 0 && start != startUnixMilli:
+	case start != startUnixMilli:
 		return startReplaced
 	}
 	return startConfirmed
 }
 
+// askStarts asks for the starts of the replicas in a list at an interval, until the context ends, but each of them at most
+// once in startRetryPause, and only if it is registered and wants requests. It passes failures on.
+func (g *Gateway) askStarts(ctx context.Context, interval time.Duration, list func() []string, failed func(id string, err error)) error {
+	// askAt holds until when a replica is not asked again, by ID.
+	askAt := make(map[string]time.Duration)
+	for fpclock.Sleep(ctx, interval) {
+		now := g.clock()
+		maps.DeleteFunc(askAt, func(_ string, at time.Duration) bool { return now >= at })
+		for _, id := range list() {
+			r, registered := g.snapshot.Load().registration(id)
+			_, asked := askAt[id]
+			if asked || !registered || g.pauseLeft(fpbalance.Replica{ID: id, StartUnixMilli: r.StartUnixMilli}) > 0 {
+				continue
+			}
+			askAt[id] = now + startRetryPause
+			go func() {
+				if _, err := g.startReader(id).Get(ctx); err != nil && ctx.Err() == nil {
+					failed(id, err)
+				}
+			}()
+		}
+	}
+	return nil
+}
+
 // startReader returns what reads a replica's start, for all requests at a time.
 func (g *Gateway) startReader(id string) *fpcoalesce.Reader[int64] {
 	g.mu.Lock()
@@ -133,7 +163,8 @@
 	return known
 }
 
-// readStart reads a replica's start from its status report, at the address of its present registration, and records it.
+// readStart reads a replica's start from its status report, at the address of its present registration, and records it. A
+// report that names none counts as that of the registered start.
 func (g *Gateway) readStart(id string) (int64, error) {
 	r, ok := g.snapshot.Load().registration(id)
 	if !ok {
@@ -145,8 +176,8 @@
 	if err != nil {
 		return 0, err
 	}
-	start := report.StartUnixMilli
-	if start != 0 && start != r.StartUnixMilli {
+	start := cmp.Or(report.StartUnixMilli, r.StartUnixMilli)
+	if start != r.StartUnixMilli {
 		g.log("replica restarted before its registration", "Replica", r.ID, "Start", start, "Registered", r.StartUnixMilli)
 		g.recordStart(id, seenStart{start, asked})
 		g.pauseReplica(id, r.StartUnixMilli, restartedPause)
