A crash under attempts that still wait began with the silence, not with its proof

Cause: where a host had nothing but waiting attempts at the replica, it dated the crash at its proof, 1.6 s later than the other hosts; reports further apart than 1.5 s are two crashes.

Evidence: the hosts' lines: "replica crashed" of i-3 with SilentFor 19 µs at one host, 1.6 and 1.1 s at the others, and two links at once.

Change: the crash is dated by what the replica was last heard of before those attempts.

--- a/internal/fpgateway/crash.go
+++ b/internal/fpgateway/crash.go
@@ -118,8 +118,9 @@
 func (g *Gateway) recordCrash(id, proof string) {
 	g.mu.Lock()
 	broken, at := g.silences.Crash(id, g.clock())
+	waiting, waitingSince := g.waitingAttempts(id)
+	broken, at = append(broken, waiting...), min(at, waitingSince)
 	unanswered := len(broken)
-	broken = append(broken, g.silentAttempts(id)...)
 	if b := g.brokenReplicas[id]; b != nil && !b.crashed {
 		b.crashed = true
 		broken, at = append(slices.Clone(b.attempts), broken...), b.attempts[0].at
--- a/internal/fpgateway/silence.go
+++ b/internal/fpgateway/silence.go
@@ -69,19 +69,20 @@
 	return ok && g.clock()-at < uncertainTTL
 }
 
-// silentAttempts returns the attempts that wait for an answer from a replica that has crashed. The gateway's mutex must be
-// held.
-func (g *Gateway) silentAttempts(id string) []brokenAttempt {
+// waitingAttempts returns the attempts that wait for an answer from a replica that has crashed, and when it fell silent. The
+// gateway's mutex must be held.
+func (g *Gateway) waitingAttempts(id string) ([]brokenAttempt, time.Duration) {
 	var out []brokenAttempt
+	since := g.clock()
 	for q := range g.quarantine.unbegun {
 		if q.choice.Replica.ID != id {
 			continue
 		}
-		if v, _ := g.silences.Judge(id, q.sentAt); v == fpquarantine.Crashed {
-			out = append(out, q.brokenAttempt())
+		if v, silentSince := g.silences.Judge(id, q.sentAt); v == fpquarantine.Crashed {
+			out, since = append(out, q.brokenAttempt()), min(since, silentSince)
 		}
 	}
-	return out
+	return out, since
 }
 
 // checkSilentReplicas asks replicas for their start, until the context ends, that left attempts unanswered and were not
