--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -72,7 +72,7 @@
   wait
 fi
 echo "== the same daemon on the users' platform: two hosts before stand-ins, no faults"
-"$bin/fescuesoak" --first 1 --seeds 1 --hosts 2 --callers 2 --faults 0s
+"$bin/fescuesoak" --first 1 --seeds 1 --hosts 2 --callers 8 --faults 0s
 echo "== stopping"
 stop
 echo "all processes ended"
