--- a/internal/fpcoalesce/reader.go
+++ b/internal/fpcoalesce/reader.go
@@ -12,7 +12,8 @@
 	// two failing calls. The zero value with Read set is ready to use.
 	Reader[T any] struct {
 		Read func() (T, error)
-		// Overlap, unless it is 0, is how long a call may run before the next one begins beside it.
+		// Overlap, unless it is 0, is how long a call may run before the next one begins beside it; Read has to be safe
+		// for concurrent use then.
 		Overlap time.Duration
 
 		mu        sync.Mutex
--- a/internal/fpcoalesce/reader_test.go
+++ b/internal/fpcoalesce/reader_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,10 +35,10 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				start, calls := time.Now(), 0
+				start := time.Now()
+				var calls atomic.Int32
 				r := Reader[int]{Overlap: tt.overlap, Read: func() (int, error) {
-					calls++
-					n := calls
+					n := int(calls.Add(1))
 					time.Sleep(second)
 					return n, tt.results[n-1]
 				}}
