--- a/cmd/fescuepointd/process_test.go
+++ b/cmd/fescuepointd/process_test.go
@@ -101,12 +101,10 @@
 	d.startProcess(name, "fescuepointd", "--settings", file)
 }
 
-func newDeployment(t *testing.T) *deployment {
+// prepareDeployment builds the programs and starts no process yet.
+func prepareDeployment(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{t: t, dir: t.TempDir(), processes: map[string]*exec.Cmd{}, addresses: map[string]string{}}
-	if out, err := exec.Command("go", "build", "-o", d.dir+"/", "../...").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	d := &deployment{t: t, dir: buildPrograms(t), processes: map[string]*exec.Cmd{}, addresses: map[string]string{}}
 	for name, text := range map[string]string{"secret": "s", "operators": "alice " + sha256Hex("operator-key")} {
 		if err := os.WriteFile(filepath.Join(d.dir, name), []byte(text), 0o600); err != nil {
 			t.Fatal(err)
@@ -117,6 +115,12 @@
 			_ = d.stopProcess(name, syscall.SIGKILL)
 		}
 	})
+	return d
+}
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := prepareDeployment(t)
 	d.startProcess("platform", "fescuestandin", "platform", "--address", d.addressOf("platform"))
 	d.startProcess("weights", "fescuestandin", "weight-store", "--address", d.addressOf("weights"), "--work", "300ms")
 	d.startProcess("booking", "fescuestandin", "service", "--address", d.addressOf("booking"), "--name", "booking", "--work", "300ms")
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs formatter, linter, tests, model checks, the deployment and a soak test. Tests
+# Runs formatter, linter, tests, crowds of clients, model checks, the deployment and a soak test. Tests
 # named in KNOWN-RED.txt run separately: their results are printed and don't affect
 # the exit status.
 set -euo pipefail
@@ -18,18 +18,21 @@
 
 echo "== tests"
 red=$(sed -n 's/^Test: *//p' KNOWN-RED.txt)
-skip=()
+skip=""
 if [ -n "$red" ]; then
-  skip=(-skip "$(echo "$red" | awk '{print $2}' | sed 's|/|$/^|g; s|^|^|; s|$|$|' | paste -sd'|')")
+  skip="|$(echo "$red" | awk '{print $2}' | sed 's|/|$/^|g; s|^|^|; s|$|$|' | paste -sd'|')"
 fi
-go test -count=1 "${skip[@]}" ./...
+go test -count=1 -skip "^TestCrowd$skip" ./...
+
+echo "== crowds of clients, one at a time"
+go test -count=1 -p 1 -run '^TestCrowd' -skip "${skip#|}" ./...
 
 if [ -n "$red" ]; then
   echo "== known red, printed and passed over"
   cat KNOWN-RED.txt
   packages=$(echo "$red" | awk '{print $1}' | sort -u)
   # shellcheck disable=SC2086
-  results=$(go test -count=1 -v -run "$(echo "$red" | awk '{print $2}' | cut -d/ -f1 | sort -u | sed 's/^/^/; s/$/$/' | paste -sd'|')" $packages || true)
+  results=$(go test -count=1 -p 1 -v -run "$(echo "$red" | awk '{print $2}' | cut -d/ -f1 | sort -u | sed 's/^/^/; s/$/$/' | paste -sd'|')" $packages || true)
   while read -r _ test; do
     if grep -q -- "--- PASS: $test " <<<"$results"; then
       echo "known red $test passes now: take it off KNOWN-RED.txt"
