One strict reader of answers for all clients: what is no answer in the protocol is none

Callers saw: an answer of status 999 or version HTTP/3.7, or with `Content-Length : 5` or `X Odd: 1` in its head, passed on as a replica's. Status 000, 099 and +20 panicked in the handler: no answer, and no next try for an idempotent request.

Cause: http.ReadResponse takes any three bytes that parse as a number for a status, any version, blanks in names and before colons, folded values, a length beside chunks, and any bytes in trailers.

The clients of fpplatform and the reports of fpupstream read answers to their end, so that a malformed trailer counts.

Why it works: the check stands below every reader, so that no client can read around it, and an error before the head is whole is the same as a connection that breaks there: the request goes to another replica if it may.

--- a/internal/fpconn/conn.go
+++ b/internal/fpconn/conn.go
@@ -23,7 +23,7 @@
 type (
 	// conn is one connection to an upstream, used by one request-response exchange at a time.
 	conn struct {
-		net.Conn
+		*checkedConn
 		address            string
 		reader             *bufio.Reader
 		bytesWritten       atomic.Int64
@@ -42,7 +42,7 @@
 )
 
 func newConn(c net.Conn, address string) *conn {
-	n := &conn{Conn: c, address: address, readable: math.MaxInt64}
+	n := &conn{checkedConn: newCheckedConn(c), address: address, readable: math.MaxInt64}
 	n.reader = bufio.NewReaderSize(n, readBufferBytes)
 	return n
 }
@@ -66,21 +66,21 @@
 	if c.readable <= 0 {
 		return 0, errHeaderTooLong
 	}
-	n, err := c.Conn.Read(p[:min(int64(len(p)), c.readable)])
+	n, err := c.checkedConn.Read(p[:min(int64(len(p)), c.readable)])
 	c.readable -= int64(n)
 	return n, err
 }
 
 // Write writes p and counts the bytes that the kernel accepted.
 func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
+	n, err := c.checkedConn.Write(p)
 	c.bytesWritten.Add(int64(n))
 	return n, err
 }
 
 // isIdle reports whether the connection is open and has no unread data.
 func (c *conn) isIdle() bool {
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || c.isBroken() {
 		return false
 	}
 	s, ok := c.Conn.(syscall.Conn)
--- a/internal/fpconn/exchange.go
+++ b/internal/fpconn/exchange.go
@@ -231,7 +231,7 @@
 }
 
 func (r *Response) reusable() bool {
-	if !r.bodyComplete || r.mismatched || r.raw.Close || r.conn.reader.Buffered() > 0 || len(r.conn.refusedKeys) >= maxRefusedKeys {
+	if !r.bodyComplete || r.mismatched || r.raw.Close || r.conn.reader.Buffered() > 0 || r.conn.isBroken() || len(r.conn.refusedKeys) >= maxRefusedKeys {
 		return false
 	}
 	if r.writeResult == nil {
--- a/internal/fpfeed/service.go
+++ b/internal/fpfeed/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"time"
 
@@ -71,7 +72,7 @@
 // NewClient returns a client with its own connection pool.
 func NewClient(clock fpclock.Clock) *Client {
 	t := &http.Transport{
-		MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: fpconn.MaxHeaderBytes,
+		DialContext: fpconn.CheckingDialer((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: fpconn.MaxHeaderBytes,
 	}
 	return &Client{httpClient: &http.Client{Transport: t}, clock: clock}
 }
--- a/internal/fpfeed/service_test.go
+++ b/internal/fpfeed/service_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/fescuepoint/fescuepoint/internal/fpconn/fpconntest"
 	"github.com/fescuepoint/fescuepoint/internal/fpstore"
 )
 
@@ -76,3 +79,17 @@
 	_, err := c.FetchChanges(context.Background(), address, "peer", at(1))
 	is.New(t).True(errors.Is(err, ErrUnreachable))
 }
+
+// TestFetchChangesMalformed checks that bytes that are no answer in the protocol bring no changes.
+func TestFetchChangesMalformed(t *testing.T) {
+	for name, text := range fpconntest.Malformed {
+		t.Run(name, func(t *testing.T) {
+			c := NewClient(func() time.Duration { return 0 })
+			defer c.Close()
+			text = strings.NewReplacer("{}", `{"Host":"peer"}`, "Length: 2", "Length: 15", "\r\n2\r\n", "\r\nf\r\n").Replace(text)
+			address := fpconntest.ServeText(t, fmt.Sprintf(text, "Content-Type: application/json\r\n"))
+			_, err := c.FetchChanges(context.Background(), address, "peer", at(1))
+			is.New(t).True(errors.Is(err, ErrUnreachable))
+		})
+	}
+}
--- a/internal/fphost/serve.go
+++ b/internal/fphost/serve.go
@@ -65,7 +65,9 @@
 
 // peerTransport returns the transport and the URL scheme for calls to other hosts.
 func peerTransport(p fpsetting.Peers) (http.RoundTripper, string, error) {
-	t := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: fpconn.MaxHeaderBytes}
+	t := &http.Transport{
+		DialContext: fpconn.CheckingDialer((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: fpconn.MaxHeaderBytes,
+	}
 	if p.CertificateFile == "" {
 		return t, "http", nil
 	}
@@ -77,6 +79,7 @@
 	if !pool.AppendCertsFromPEM(pem) {
 		return nil, "", errors.New("Peers.AuthorityFile holds no certificate")
 	}
-	t.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}
+	d := tls.Dialer{Config: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}
+	t.DialTLSContext = fpconn.CheckingDialer(d.DialContext)
 	return t, "https", nil
 }
--- a/internal/fpplatform/client.go
+++ b/internal/fpplatform/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -38,7 +39,7 @@
 // A connection carries one call at a time and is closed after a failure, so that
 // an unresponsive connection costs only one timeout.
 func NewClient(address string) *Client {
-	t := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: fpconn.MaxHeaderBytes}
+	t := &http.Transport{DialContext: fpconn.CheckingDialer((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: fpconn.MaxHeaderBytes}
 	return &Client{baseURL: "http://" + address, httpClient: &http.Client{Transport: t}}
 }
 
@@ -168,7 +169,11 @@
 		return err
 	}
 	defer func() { _ = body.Close() }()
-	if err := json.NewDecoder(io.LimitReader(body, maxResponseBytes)).Decode(res); err != nil {
+	data, err := fpconn.ReadAll(body, maxResponseBytes, nil)
+	if err != nil {
+		return errors.Mark(errors.Wrapf(err, "read response of %s", path), fpstore.ErrOutcomeUnknown)
+	}
+	if err := json.Unmarshal(data, res); err != nil {
 		return errors.Mark(errors.Wrapf(err, "decode response of %s", path), fpstore.ErrOutcomeUnknown)
 	}
 	return nil
--- a/internal/fpplatform/client_test.go
+++ b/internal/fpplatform/client_test.go
@@ -44,3 +44,8 @@
 		}
 	})
 }
+
+// TestMalformedAnswers runs the conformance test of fpstore.Store for bytes that are no answer.
+func TestMalformedAnswers(t *testing.T) {
+	fpstoretest.RunMalformed(t, func(address string) fpstore.Store { return fpplatform.NewClient(address) })
+}
--- a/internal/fpupstream/client.go
+++ b/internal/fpupstream/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -101,7 +100,7 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Mark(errors.Wrap(err, "connect"), ErrNoConnection), ErrNotRun)
 	}
-	return conn, nil
+	return fpconn.CheckAnswers(conn), nil
 }
 
 // singleUseClient returns an HTTP client that sends one request over conn.
@@ -266,6 +265,9 @@
 	if err := statusError(res); err != nil {
 		return err
 	}
-	err = json.NewDecoder(io.LimitReader(res.Body, maxControlResponseBytes)).Decode(v)
-	return errors.Wrapf(err, "decode the response of %s", path)
+	data, err := fpconn.ReadAll(res.Body, maxControlResponseBytes, nil)
+	if err != nil {
+		return errors.Wrapf(err, "read the response of %s", path)
+	}
+	return errors.Wrapf(json.Unmarshal(data, v), "decode the response of %s", path)
 }
