An answer without a length that a reset cuts during the upload is not whole

Callers saw: a replica answers a long upload at once with a 200 that has no length, sends a part of its body and resets the connection while the upload is still being written; the part came as a complete answer.

The goroutine that writes the request gets the socket's error, which the kernel tells once; the reader then sees a plain end, which ends such a body.

Change: a connection to an upstream follows what is written too. At the end of the connection, an answer without a length is whole only if the request was written without an error. Where it is still being written, the reader waits for the writer, unless a write stays blocked: a reset would have ended it.

Why it works: the error of a reset goes to the writer or to the reader, so one of the two has it. An upstream that ends its answer regularly and does not read on is told apart by the blocked write.

--- a/internal/fpconn/checked.go
+++ b/internal/fpconn/checked.go
@@ -2,23 +2,42 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/fescuepoint/fescuepoint/pkg/fpframe"
 )
 
+const (
+	// blockedWriteWait is how long a write must have been blocked after the other side has ended its answer until the
+	// end counts as a regular one. A reset ends a blocked write at once.
+	blockedWriteWait = 500 * time.Millisecond
+)
+
+// errResetDuringRequest means that the other side reset the connection while the request was being written.
+var errResetDuringRequest = errors.New("the connection was reset while the request was being written")
+
 type (
 	// checkedConn is a connection to an upstream whose answers are checked as they are read. Bytes that are no answer in
-	// the protocol are an error.
+	// the protocol are an error, as is the end of an answer without a length if a reset caused it.
 	checkedConn struct {
 		net.Conn
-		mu sync.Mutex
+		mu      sync.Mutex
+		changed sync.Cond
 		// requests follows what is written, answers what is read.
 		requests, answers fpframe.Scanner
 		// failure is the error that reads return from now on.
 		failure error
+		// writing is the number of writes in progress, writes that of those that have ended.
+		writing, writes int
+		writeErr        error
+		closed          bool
 	}
 )
 
@@ -26,7 +45,9 @@
 func CheckAnswers(c net.Conn) net.Conn { return newCheckedConn(c) }
 
 func newCheckedConn(c net.Conn) *checkedConn {
-	return &checkedConn{Conn: c, answers: fpframe.NewAnswerScanner()}
+	k := &checkedConn{Conn: c, answers: fpframe.NewAnswerScanner()}
+	k.changed.L = &k.mu
+	return k
 }
 
 // CheckingDialer returns a dialer whose connections check the answers which are read from them.
@@ -42,10 +63,19 @@
 
 // Write writes p and follows the request in it.
 func (c *checkedConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.writing++
+	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.writing--
+	c.writes++
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
 	c.followRequests(p[:n])
+	c.changed.Broadcast()
 	return n, err
 }
 
@@ -79,6 +109,10 @@
 		}
 		return 0, malformed
 	}
+	if errors.Is(err, io.EOF) && c.answers.EndsWithConnection() && !c.endedRegularly() {
+		c.failure = errors.Mark(errors.Mark(errResetDuringRequest, io.ErrUnexpectedEOF), syscall.ECONNRESET)
+		return n, c.failure
+	}
 	return n, err
 }
 
@@ -98,9 +132,42 @@
 	return len(p), nil
 }
 
+// endedRegularly reports whether the end of the connection is that of the answer. Where the request is still being
+// written, the write has taken the error of a reset, if there was one, and the reader sees a plain end. The mutex must be
+// held.
+func (c *checkedConn) endedRegularly() bool {
+	for !c.closed && c.writeErr == nil && (c.writing > 0 || !c.requests.Between()) {
+		writes := c.writes
+		expired := false
+		t := time.AfterFunc(blockedWriteWait, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			expired = true
+			c.changed.Broadcast()
+		})
+		for !c.closed && c.writes == writes && !expired {
+			c.changed.Wait()
+		}
+		t.Stop()
+		if c.writing > 0 && c.writes == writes && !c.closed {
+			return true
+		}
+	}
+	return !c.closed && c.writeErr == nil
+}
+
 // isBroken reports whether malformed bytes have been read.
 func (c *checkedConn) isBroken() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.failure != nil
 }
+
+// Close closes the connection.
+func (c *checkedConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/internal/fpconn/checked_test.go
+++ b/internal/fpconn/checked_test.go
@@ -1,8 +1,14 @@
 package fpconn
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -11,6 +17,8 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpconn/fpconntest"
 )
 
+const longBodyBytes = 16 << 20
+
 // TestMalformedAnswer checks that bytes that are no answer in the protocol are none to a call.
 func TestMalformedAnswer(t *testing.T) {
 	for name, text := range fpconntest.Malformed {
@@ -24,3 +32,45 @@
 		})
 	}
 }
+
+// TestAnswerResetDuringRequest checks that an answer without a length that a reset cuts, while the request is still being
+// written, is not taken for a whole one, and that it is told apart from one that ends regularly.
+func TestAnswerResetDuringRequest(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: 0\r\n\r\n"
+	body := strings.Repeat("x", longBodyBytes)
+	reset := fpconntest.ServeReset(t, head+"a part")
+	for range 24 {
+		p := NewPool(fpclock.SinceBoot, nil)
+		text, _, err := doCall(p, newCall(reset, "0", body))
+		p.Close()
+		if !errors.Is(err, ErrIncompleteResponse) {
+			t.Fatalf("error %v, body %q", err, text)
+		}
+	}
+	regular := map[string]func(c net.Conn, r *http.Request){
+		"request read after the answer": func(c net.Conn, r *http.Request) {
+			_, _ = io.WriteString(c, head+"all")
+			_ = c.(*net.TCPConn).CloseWrite()
+			_, _ = io.Copy(io.Discard, r.Body)
+		},
+		"request not read": func(c net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(c, head+"all")
+			_ = c.(*net.TCPConn).CloseWrite()
+			fpclock.Sleep(context.Background(), 2*time.Second)
+		},
+		"request read before the answer": func(c net.Conn, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(c, head+"all")
+		},
+	}
+	for name, answer := range regular {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := NewPool(fpclock.SinceBoot, nil)
+			defer p.Close()
+			text, _, err := doCall(p, newCall(fpconntest.Serve(t, answer), "0", body))
+			is.NoErr(err)
+			is.Equal(text, "all")
+		})
+	}
+}
--- a/internal/fpgateway/malformed_test.go
+++ b/internal/fpgateway/malformed_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -51,3 +53,28 @@
 		})
 	}
 }
+
+// TestAnswerResetDuringRequest checks that an answer without a length that a reset cuts, while the request is still
+// being sent, reaches no caller as a whole one.
+func TestAnswerResetDuringRequest(t *testing.T) {
+	is := is.New(t)
+	tc := prepareTestCluster(t)
+	document := configDocument(1)
+	document["limits"].(map[string]any)["max_body_bytes"] = 8 << 20
+	tc.store.Put("op/config", document)
+	tc.replaceServiceReplica(func(c net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nReplica-Signature: odd\r\n\r\na part", r.Header.Get("Attempt-Id"))
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	tc.startHost()
+	tc.waitFor(tc.isReady, "ready")
+	body := strings.Repeat("x", 8<<20-1)
+	for range 8 {
+		r := tc.sendRequest("call", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+		})
+		requireNoError(t, r)
+		is.True(!strings.Contains(r.body, "a part"))
+	}
+}
--- a/internal/fpupstream/malformed_test.go
+++ b/internal/fpupstream/malformed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,3 +35,20 @@
 		})
 	}
 }
+
+// TestServiceAnswerResetDuringRequest checks that an answer without a length that a reset cuts, while the call is still
+// being written, is not taken for a whole one.
+func TestServiceAnswerResetDuringRequest(t *testing.T) {
+	address := fpconntest.ServeReset(t, "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n\r\na part")
+	for range 8 {
+		c := NewClient(Settings{SilenceTimeout: 200 * time.Millisecond})
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		body := []byte(strings.Repeat("x", 16<<20))
+		r := c.sendAndRead(ctx, Attempt{ID: "a", RequestID: "r", Address: address, Method: http.MethodPost, Path: "/x", Header: http.Header{}, Body: body})
+		cancel()
+		c.Close()
+		if r.err == nil {
+			t.Fatalf("a part counts as whole: %q", r.response.Body)
+		}
+	}
+}
