One budget of the host's memory for connections, heads, bodies and answers on the platform

Callers saw: a crowd of clients whose requests are of legal size, or unended, ended the process: out of memory, or of descriptors.

Cause: nothing bounded what clients hold. The server's bound on a head counts bytes, while each line costs many times its bytes, and the configuration's limit was checked after the head was whole; bodies were read whole with no bound on their number; answers had a budget of their own that short ones did not count in; connections had no bound.

Change: pkg/fpbudget divides a share of the host's memory by class: long requests leave room to short ones, these to answers, and the last part is the feeds'. internal/fpingress stands between the listeners and the servers. It counts open connections, heads by bytes and lines as they arrive, bodies by their declared length before they are read or, in chunks, as they arrive, and requests that were sent ahead by what their socket may hold; sockets' receive buffers are bounded. What finds no room is refused at once: 503 with a Retry-After before the handler, or a closed connection. Where room runs short, clients that stall lose their connections: unfinished requests and unread answers first, then silent connections, then kept ones. Answers take from the same budget.

Why it works: all that a client can make a host hold passes through the guarded connection and is counted before it is kept. A declared length is counted before it is read, so that the bodies that are admitted can end; those that stall give their room back to who asks for it.

--- a/internal/fpconn/endless_test.go
+++ b/internal/fpconn/endless_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
+	"github.com/fescuepoint/fescuepoint/pkg/fpbudget"
 )
 
 const (
@@ -151,12 +152,12 @@
 	}
 }
 
-// TestBudget checks that calls together hold at most the budget beyond what each may hold anyway,
-// and that each returns what it took.
+// TestBudget checks that calls together hold at most what the budget allows for long answers, that a short one is read
+// beside them, and that each returns what it took.
 func TestBudget(t *testing.T) {
 	is := is.New(t)
-	b := NewBudget(1 << 20)
-	first, second := b.NewReservation(), b.NewReservation()
+	b := fpbudget.New(2 << 20)
+	first, second := b.Reserve(fpbudget.Answer), b.Reserve(fpbudget.Answer)
 	data, err := ReadAll(strings.NewReader(strings.Repeat("x", 900<<10)), 4<<20, first)
 	is.NoErr(err)
 	is.Equal(len(data), 900<<10)
@@ -172,5 +173,5 @@
 	is.NoErr(err)
 	is.Equal(len(data), 900<<10)
 	second.Release()
-	is.Equal(b.used.Load(), int64(0))
+	is.Equal(b.Used(), int64(0))
 }
--- a/internal/fpconn/exchange.go
+++ b/internal/fpconn/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fescuepoint/fescuepoint/pkg/fpbudget"
 )
 
 const (
@@ -275,7 +277,7 @@
 
 // ReadAll reads a body of at most limit bytes into memory that it takes from m, which may be nil.
 // If the body is longer or no memory is left, the error is marked ErrIncompleteResponse.
-func ReadAll(r io.Reader, limit int64, m *Reservation) ([]byte, error) {
+func ReadAll(r io.Reader, limit int64, m *fpbudget.Reservation) ([]byte, error) {
 	limited := io.LimitReader(r, limit+1)
 	var data []byte
 	for {
--- a/internal/fpgateway/events.go
+++ b/internal/fpgateway/events.go
@@ -10,6 +10,7 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/internal/fpnotice"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
+	"github.com/fescuepoint/fescuepoint/pkg/fpbudget"
 	"github.com/fescuepoint/fescuepoint/pkg/fproute"
 )
 
@@ -136,7 +137,7 @@
 	}
 	defer a.Close()
 	g.recordControlIntake(r.ID, r.StartUnixMilli, a)
-	memory := g.answerMemory.NewReservation()
+	memory := g.memory.Reserve(fpbudget.Control)
 	defer memory.Release()
 	body, err := fpconn.ReadAll(a.Body, maxEventsBytes, memory)
 	if err != nil {
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -15,11 +15,13 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpcoalesce"
 	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/internal/fpfeed"
+	"github.com/fescuepoint/fescuepoint/internal/fpingress"
 	"github.com/fescuepoint/fescuepoint/internal/fplog"
 	"github.com/fescuepoint/fescuepoint/internal/fpmetric"
 	"github.com/fescuepoint/fescuepoint/internal/fpnotice"
 	"github.com/fescuepoint/fescuepoint/internal/fpstore"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
+	"github.com/fescuepoint/fescuepoint/pkg/fpbudget"
 	"github.com/fescuepoint/fescuepoint/pkg/fplimit"
 	"github.com/fescuepoint/fescuepoint/pkg/fporigin"
 	"github.com/fescuepoint/fescuepoint/pkg/fpquarantine"
@@ -29,10 +31,10 @@
 	// memoryLimitShare is the share of the host's memory that is set as the garbage collector's
 	// soft limit.
 	memoryLimitShare = 0.7
-	// answerMemoryShare is the share of the host's memory that long answers may hold at one time,
-	// and minAnswerMemoryBytes the least that they may hold.
-	answerMemoryShare    = 0.125
-	minAnswerMemoryBytes = 8 << 20
+	// trafficMemoryShare is the share of the host's memory that connections, requests and answers may hold at one time,
+	// and minTrafficMemoryBytes the least that they may hold. The rest is for the host's own state and for garbage.
+	trafficMemoryShare    = 0.35
+	minTrafficMemoryBytes = 16 << 20
 	// snapshotInterval is the interval at which the snapshot is rebuilt when the store reports
 	// no change.
 	snapshotInterval = 500 * time.Millisecond
@@ -71,8 +73,9 @@
 		pool           *fpconn.Pool
 		// forwardPool holds the connections to other hosts for the requests that they are forwarded.
 		forwardPool *fpconn.Pool
-		// answerMemory bounds the memory of the upstreams' long answers.
-		answerMemory *fpconn.Budget
+		// memory bounds what connections, requests and answers hold, and guard admits callers to it.
+		memory *fpbudget.Budget
+		guard  *fpingress.Guard
 
 		controlQueue    chan func(*controlState)
 		snapshot        atomic.Pointer[snapshot]
@@ -159,7 +162,8 @@
 		g.pool.SetDialer(p.Dial)
 	}
 	g.forwardPool = fpconn.NewPool(p.Clock, nil)
-	g.answerMemory = fpconn.NewBudget(max(int64(float64(s.MemoryBytes)*answerMemoryShare), minAnswerMemoryBytes))
+	g.memory = fpbudget.New(max(int64(float64(s.MemoryBytes)*trafficMemoryShare), minTrafficMemoryBytes))
+	g.guard = fpingress.NewGuard(fpingress.Settings{Budget: g.memory, MaxConnections: s.MaxConnections, Clock: p.Clock, OnRefuse: g.recordRefusedClient})
 	g.peerClient, g.storeReaders = fpfeed.NewClient(p.Clock), &storeReaders{skippedUntil: make(map[string]time.Duration)}
 	g.activeSettings.Store(&s)
 	g.snapshot.Store(&snapshot{})
@@ -186,16 +190,17 @@
 		taskCtx, stop := context.WithCancel(inner)
 		r.Add(func() error { return f(taskCtx) }, func(error) { stop() })
 	}
-	callers := g.newServer(g.settings().CallersAddress, g)
-	servers := []*server{callers, g.newServer(g.settings().ReadyAddress, g.readyHandler())}
+	callers := g.newServer(g.settings().CallersAddress, g, fpingress.Rules{HeaderBytes: g.maxHeaderBytes, BodyBytes: g.maxBodyBytes})
+	own := fpingress.Rules{HeaderBytes: g.maxHeaderBytes, BodyBytes: g.maxBodyBytes, Control: true}
+	servers := []*server{callers, g.newServer(g.settings().ReadyAddress, g.readyHandler(), own)}
 	clients := []*server{callers}
 	if address := g.settings().peerAddress(); address != "" {
-		peers := g.newServer(address, g.peersHandler(fpfeed.NewHandler(g.settings().Host, &g.history, g.clock)))
+		peers := g.newServer(address, g.peersHandler(fpfeed.NewHandler(g.settings().Host, &g.history, g.clock)), own)
 		peers.optional = true
 		servers, clients = append(servers, peers), append(clients, peers)
 	}
 	if g.settings().MetricsAddress != "" {
-		metrics := g.newServer(g.settings().MetricsAddress, g.metricsHandler())
+		metrics := g.newServer(g.settings().MetricsAddress, g.metricsHandler(), own)
 		metrics.optional = true
 		servers = append(servers, metrics)
 	}
--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -13,8 +13,9 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fescuepoint/fescuepoint/internal/fpconn"
+	"github.com/fescuepoint/fescuepoint/internal/fpingress"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
+	"github.com/fescuepoint/fescuepoint/pkg/fpbudget"
 	"github.com/fescuepoint/fescuepoint/pkg/fpcatalog"
 	"github.com/fescuepoint/fescuepoint/pkg/fporigin"
 	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
@@ -32,6 +33,8 @@
 	// staleConfigRetryAfter is the Retry-After while this host's configuration is missing,
 	// incomplete or too old.
 	staleConfigRetryAfter = 300 * time.Millisecond
+	// noMemoryRetryAfter is the Retry-After while the memory for requests is used up.
+	noMemoryRetryAfter = time.Second
 )
 
 type (
@@ -85,7 +88,7 @@
 		// broken says that a replica broke off an attempt.
 		broken bool
 		// memory is what the answers that are held for the request take.
-		memory *fpconn.Reservation
+		memory *fpbudget.Reservation
 		status int
 		reason string
 		// firstByteDelay is the time from the request's arrival to the answer's first byte.
@@ -108,7 +111,7 @@
 	g.runningRequests.Add(1)
 	defer g.runningRequests.Add(-1)
 	q := &request{
-		gateway: g, writer: w, http: r, snapshot: g.snapshot.Load(), arrivedAt: g.clock(), memory: g.answerMemory.NewReservation(), forwardedBy: forwardedBy,
+		gateway: g, writer: w, http: r, snapshot: g.snapshot.Load(), arrivedAt: g.clock(), memory: g.answerMemory(r), forwardedBy: forwardedBy,
 	}
 	defer q.memory.Release()
 	if g.draining.Load() {
@@ -133,6 +136,14 @@
 	q.dispatch(ctx)
 }
 
+// answerMemory returns the memory that the answer to a request takes.
+func (g *Gateway) answerMemory(r *http.Request) *fpbudget.Reservation {
+	if m := fpingress.AnswerMemory(r); m != nil {
+		return m
+	}
+	return g.memory.Reserve(fpbudget.Answer)
+}
+
 // admit checks a request against the configuration in force.
 func (q *request) admit() *rejection {
 	g := q.gateway
@@ -205,18 +216,16 @@
 
 // readBody reads the whole body, so that it can be sent more than once.
 func (q *request) readBody() *rejection {
-	limit := int64(defaultMaxBodyBytes)
-	if n := q.snapshot.catalog.Limits().MaxBodyBytes; n > 0 {
-		limit = n
-	}
 	deadline := time.Now().Add(q.deadline - q.gateway.clock())
 	controller := http.NewResponseController(q.writer)
 	if err := controller.SetReadDeadline(deadline); err != nil {
 		return &rejection{status: http.StatusInternalServerError, reason: err.Error()}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.writer, q.http.Body, limit))
+	body, err := fpingress.ReadBody(q.writer, q.http, q.gateway.maxBodyBytes())
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, fpingress.ErrNoMemory):
+		return &rejection{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: noMemoryRetryAfter}
 	case errors.As(err, &tooLarge):
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}
 	case err != nil:
--- a/internal/fpgateway/relay.go
+++ b/internal/fpgateway/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/pkg/fpbalance"
+	"github.com/fescuepoint/fescuepoint/pkg/fpbudget"
 	"github.com/fescuepoint/fescuepoint/pkg/fpcatalog"
 	"github.com/fescuepoint/fescuepoint/pkg/fporigin"
 )
@@ -134,7 +135,7 @@
 		return q.handleForeignAnswer(ctx, c, errors.Wrap(errNotResumed, "no stream"))
 	}
 	reader := bufio.NewReader(a.Body)
-	memory := q.gateway.answerMemory.NewReservation()
+	memory := q.gateway.memory.Reserve(fpbudget.Answer)
 	defer memory.Release()
 	defer q.keepOrigin()
 	for {
@@ -209,7 +210,7 @@
 
 // readEvent reads up to and including the empty line that ends an event, into memory that it takes
 // from m. At the end of the stream it returns io.EOF with no bytes.
-func readEvent(r *bufio.Reader, m *fpconn.Reservation) ([]byte, error) {
+func readEvent(r *bufio.Reader, m *fpbudget.Reservation) ([]byte, error) {
 	var event []byte
 	for {
 		line, err := r.ReadSlice('\n')
--- a/internal/fpgateway/serve.go
+++ b/internal/fpgateway/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -10,6 +9,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
+	"github.com/fescuepoint/fescuepoint/internal/fpingress"
+	"github.com/fescuepoint/fescuepoint/pkg/fpcatalog"
 )
 
 const (
@@ -18,8 +19,7 @@
 	// off.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 20 * time.Second
-	// maxHeaderBytes bounds what the server reads of a header; the configuration's lower limit
-	// is checked for each request.
+	// maxHeaderBytes bounds what the server reads of a header; the guard knows the configuration's lower limit.
 	maxHeaderBytes = 64 << 10
 	// shutdownMargin is the time kept between the end of the last request and the end of the
 	// grace period.
@@ -40,24 +40,57 @@
 	server struct {
 		gateway *Gateway
 		http    *http.Server
+		rules   fpingress.Rules
 		// optional says that the host runs on when the server can't listen.
 		optional bool
 	}
 )
 
-func (g *Gateway) newServer(address string, h http.Handler) *server {
-	return &server{gateway: g, http: &http.Server{
+func (g *Gateway) newServer(address string, h http.Handler, r fpingress.Rules) *server {
+	return &server{gateway: g, rules: r, http: &http.Server{
 		Addr:              address,
-		Handler:           h,
+		Handler:           fpingress.Handler(h),
+		ConnContext:       fpingress.ConnContext,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		// The handler gets each request that the guard counts.
+		DisableGeneralOptionsHandler: true,
 	}}
 }
 
+// maxHeaderBytes returns the longest header that the configuration allows, 0 if it says nothing.
+func (g *Gateway) maxHeaderBytes() int { return g.limits().MaxHeaderBytes }
+
+// maxBodyBytes returns the longest body that the configuration allows.
+func (g *Gateway) maxBodyBytes() int64 {
+	if n := g.limits().MaxBodyBytes; n > 0 {
+		return n
+	}
+	return defaultMaxBodyBytes
+}
+
+// limits returns what the configuration in force allows callers.
+func (g *Gateway) limits() fpcatalog.Limits {
+	if c := g.snapshot.Load().catalog; c != nil {
+		return c.Limits()
+	}
+	return fpcatalog.Limits{}
+}
+
+// recordRefusedClient records a client that was refused, or whose connection was closed, for want of memory or
+// connections or for its header.
+func (g *Gateway) recordRefusedClient(r fpingress.Refusal) {
+	g.metrics.AddToCounter("clients_refused_"+string(r.Reason), 1)
+	if r.Quiet {
+		return
+	}
+	g.log("client refused", "Client", r.Client, "Reason", string(r.Reason), "MemoryUsed", g.memory.Used(), "MemoryLimit", g.memory.Limit())
+}
+
 // serve listens and serves. After a planned stop it waits for the run group to end.
 func (s *server) serve() error {
-	l, err := net.Listen("tcp", s.http.Addr)
+	l, err := fpingress.Listen(s.http.Addr)
 	if err != nil {
 		s.gateway.log("cannot listen", "Address", s.http.Addr, "Error", err.Error())
 		if s.optional {
@@ -66,7 +99,7 @@
 		}
 		return errors.Wrap(err, "listen")
 	}
-	err = s.http.Serve(l)
+	err = s.http.Serve(s.gateway.guard.Guard(l, s.rules))
 	if errors.Is(err, http.ErrServerClosed) {
 		<-s.gateway.stopped
 		return nil
--- a/internal/fpgateway/settings.go
+++ b/internal/fpgateway/settings.go
@@ -33,8 +33,10 @@
 		// PeerPort is the port for notices and peer reads between hosts, 0 for none.
 		PeerPort    int
 		MemoryBytes int64
-		Freshness   fpfresh.Bounds
-		RetryBudget fplimit.RetryRule
+		// MaxConnections bounds the open connections of all listeners, 0 for no bound.
+		MaxConnections int
+		Freshness      fpfresh.Bounds
+		RetryBudget    fplimit.RetryRule
 		// GracePeriod is the time between the request to stop and the end of the process.
 		GracePeriod time.Duration
 		// ShutdownDelay is how long a stopping host still accepts requests.
--- /dev/null
+++ b/internal/fpingress/guard.go
@@ -0,0 +1,248 @@
+package fpingress
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
+	"github.com/fescuepoint/fescuepoint/pkg/fpbudget"
+)
+
+const (
+	// connectionBytes is what an open connection takes, and requestBytes what a request takes besides its head and body.
+	connectionBytes = 16 << 10
+	requestBytes    = 16 << 10
+	// secureBytes is what a connection takes besides for its encryption.
+	secureBytes = 48 << 10
+	// bytesPerLine is what a field of a head takes besides its text, parsed and forwarded.
+	bytesPerLine = 256
+	// copiesOfHead is how often the text of a head is kept: as received, parsed and forwarded.
+	copiesOfHead = 3
+	// receiveBufferBytes bounds what a connection's socket holds of bytes that are not read yet.
+	receiveBufferBytes = 64 << 10
+	// evictionInterval is the least time from a search for stalled clients that found none to the next.
+	evictionInterval = 10 * time.Millisecond
+	// loudRefusals is the number of refusals within a second that are worth a line each.
+	loudRefusals = 20
+	// controlShare is which part of the connections callers leave to other listeners: one of so many.
+	controlShare = 8
+)
+
+const (
+	// ReasonHead means that a request's header is longer than the limit.
+	ReasonHead Reason = "long_header"
+	// ReasonMemory means that a connection or request found no room in the memory.
+	ReasonMemory Reason = "no_memory"
+	// ReasonConnections means that as many connections are open as may be.
+	ReasonConnections Reason = "too_many_connections"
+	// ReasonStalled means that a connection was closed whose client stalled, since others needed its room.
+	ReasonStalled Reason = "stalled"
+)
+
+type (
+	// Reason is why a client was refused or its connection closed.
+	Reason string
+
+	// Settings configures a guard.
+	Settings struct {
+		// Budget is the memory that connections, requests and answers share.
+		Budget *fpbudget.Budget
+		// MaxConnections bounds the open connections of all listeners.
+		MaxConnections int
+		Clock          fpclock.Clock
+		// RefusalHeader is added to each refusal.
+		RefusalHeader http.Header
+		// OnRefuse, unless nil, is called for each client that is refused or whose connection is closed.
+		OnRefuse func(Refusal)
+	}
+
+	// Refusal describes a client that was refused, or whose connection was closed.
+	Refusal struct {
+		Reason Reason
+		Client string
+		// Quiet says that there were many refusals within this second already.
+		Quiet bool
+	}
+
+	// Rules are the limits of a listener. A function of them may be nil and may return 0 for the default.
+	Rules struct {
+		// HeaderBytes returns the longest header, without the request line.
+		HeaderBytes func() int
+		// BodyBytes returns the longest body. A body that is declared longer is left to the handler to reject.
+		BodyBytes func() int64
+		// BodyCopies is how many copies of a body the handler holds, 1 if it is 0.
+		BodyCopies int64
+		// Control says that the listener serves the host's own needs, not callers.
+		Control bool
+	}
+
+	// Guard admits the connections and requests of all listeners of a host.
+	Guard struct {
+		settings    Settings
+		mu          sync.Mutex
+		connections map[*conn]struct{}
+		callers     int
+		evictAt     time.Duration
+		// refusals is the number of refusals within the given second of the clock.
+		refusals, second int64
+	}
+
+	listener struct {
+		net.Listener
+		guard *Guard
+		rules Rules
+	}
+)
+
+// NewGuard returns a guard without connections.
+func NewGuard(s Settings) *Guard {
+	return &Guard{settings: s, connections: make(map[*conn]struct{})}
+}
+
+// Listen listens on a TCP address, with a bounded receive buffer for each connection.
+func Listen(address string) (net.Listener, error) {
+	c := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			// The error is ignored: without the option, the kernel's own bound applies.
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+		})
+	}}
+	return c.Listen(context.Background(), "tcp", address)
+}
+
+// Guard returns a listener whose connections the guard admits by the given rules.
+func (g *Guard) Guard(l net.Listener, r Rules) net.Listener {
+	r.BodyCopies = max(r.BodyCopies, 1)
+	return &listener{Listener: l, guard: g, rules: r}
+}
+
+// Accept returns the next connection that is admitted, and closes the others.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, errors.Wrap(err, "accept")
+		}
+		if admitted := l.guard.admit(c, l.rules); admitted != nil {
+			return admitted, nil
+		}
+		_ = c.Close()
+	}
+}
+
+// admit admits a connection or returns nil.
+func (g *Guard) admit(c net.Conn, r Rules) *conn {
+	n := newConn(g, c, r)
+	limit := g.settings.MaxConnections
+	if !r.Control {
+		limit -= limit / controlShare
+	}
+	if g.isFull(r, limit) {
+		g.evict(0, 1)
+	}
+	reason := ReasonConnections
+	if !g.isFull(r, limit) {
+		if g.grow(n.connection, connectionSize(c)) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.connections[n] = struct{}{}
+			if !r.Control {
+				g.callers++
+			}
+			return n
+		}
+		reason = ReasonMemory
+	}
+	g.refused(reason, c)
+	return nil
+}
+
+func connectionSize(c net.Conn) int64 {
+	if _, ok := c.(*tls.Conn); ok {
+		return connectionBytes + secureBytes
+	}
+	return connectionBytes
+}
+
+func (g *Guard) isFull(r Rules, limit int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := len(g.connections)
+	if !r.Control {
+		n = g.callers
+	}
+	return g.settings.MaxConnections > 0 && n >= limit
+}
+
+// remove forgets a connection that was closed.
+func (g *Guard) remove(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, ok := g.connections[c]; !ok {
+		return
+	}
+	delete(g.connections, c)
+	if !c.rules.Control {
+		g.callers--
+	}
+}
+
+// grow adds bytes to a reservation. Where memory runs short, clients that stall lose theirs.
+func (g *Guard) grow(r *fpbudget.Reservation, n int64) bool {
+	if excess := g.settings.Budget.Excess(n); excess > 0 {
+		g.evict(excess, 0)
+	}
+	return r.Grow(n)
+}
+
+// evict closes the connections of clients that stall, for the given bytes and number of connections.
+func (g *Guard) evict(bytes int64, count int) {
+	now := g.settings.Clock()
+	g.mu.Lock()
+	if now < g.evictAt {
+		g.mu.Unlock()
+		return
+	}
+	list := make([]*conn, 0, len(g.connections))
+	for c := range g.connections {
+		list = append(list, c)
+	}
+	g.mu.Unlock()
+	clients := make([]fpbudget.Client, len(list))
+	for i, c := range list {
+		clients[i] = c.describe()
+	}
+	stalled := fpbudget.Evict(clients, bytes, count, now)
+	for _, i := range stalled {
+		list[i].evict()
+		g.refused(ReasonStalled, list[i])
+	}
+	if len(stalled) == 0 {
+		g.mu.Lock()
+		g.evictAt = now + evictionInterval
+		g.mu.Unlock()
+	}
+}
+
+func (g *Guard) refused(r Reason, c net.Conn) {
+	if g.settings.OnRefuse == nil {
+		return
+	}
+	second := int64(g.settings.Clock() / time.Second)
+	g.mu.Lock()
+	if second != g.second {
+		g.second, g.refusals = second, 0
+	}
+	g.refusals++
+	quiet := g.refusals > loudRefusals
+	g.mu.Unlock()
+	g.settings.OnRefuse(Refusal{Reason: r, Client: c.RemoteAddr().String(), Quiet: quiet})
+}
--- /dev/null
+++ b/internal/fpingress/ingress_test.go
@@ -0,0 +1,336 @@
+package fpingress
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpclock"
+	"github.com/fescuepoint/fescuepoint/pkg/fpbudget"
+)
+
+const (
+	testHeaderBytes = 4 << 10
+	testBodyBytes   = 1 << 20
+	// atOnce is far below any time that a client may take, and far above what a local exchange takes.
+	atOnce   = 2 * time.Second
+	patience = 10 * time.Second
+)
+
+// testServer is a server behind a guard. It answers POST /read with the length of the body, /long with a long body,
+// /wait when it is told to, and other requests with 404 without reading their bodies.
+type testServer struct {
+	t       *testing.T
+	address string
+	budget  *fpbudget.Budget
+	proceed chan struct{}
+	handled atomic.Int64
+	mu      sync.Mutex
+	reasons map[Reason]int
+	stop    func()
+}
+
+func startTestServer(t *testing.T, budget int64, connections int) *testServer {
+	t.Helper()
+	s := &testServer{t: t, budget: fpbudget.New(budget), proceed: make(chan struct{}), reasons: make(map[Reason]int)}
+	g := NewGuard(Settings{
+		Budget: s.budget, MaxConnections: connections, Clock: fpclock.SinceBoot, RefusalHeader: http.Header{"Outcome": {"NotRun"}},
+		OnRefuse: func(r Refusal) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.reasons[r.Reason]++
+		},
+	})
+	l, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.address = l.Addr().String()
+	rules := Rules{HeaderBytes: func() int { return testHeaderBytes }, BodyBytes: func() int64 { return testBodyBytes }}
+	server := &http.Server{
+		Handler: Handler(http.HandlerFunc(s.serve)), ConnContext: ConnContext, ReadHeaderTimeout: time.Minute, DisableGeneralOptionsHandler: true,
+	}
+	go func() { _ = server.Serve(g.Guard(l, rules)) }()
+	s.stop = func() { _ = server.Close() }
+	t.Cleanup(s.stop)
+	return s
+}
+
+func (s *testServer) serve(w http.ResponseWriter, r *http.Request) {
+	s.handled.Add(1)
+	switch r.URL.Path {
+	case "/read":
+		data, err := ReadBody(w, r, testBodyBytes)
+		var long *http.MaxBytesError
+		switch {
+		case errors.As(err, &long):
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+		case errors.Is(err, ErrNoMemory):
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case err != nil:
+			panic(http.ErrAbortHandler)
+		default:
+			_, _ = io.WriteString(w, strconv.Itoa(len(data)))
+		}
+	case "/long":
+		for range 1 << 10 {
+			if _, err := w.Write(make([]byte, 64<<10)); err != nil {
+				return
+			}
+		}
+	case "/wait":
+		<-s.proceed
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// reasonCount returns how many clients were refused for a reason.
+func (s *testServer) reasonCount(r Reason) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reasons[r]
+}
+
+// dial connects a client and sends a text.
+func (s *testServer) dial(text string) (net.Conn, *bufio.Reader) {
+	s.t.Helper()
+	c, err := net.Dial("tcp", s.address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(patience))
+	// A server that refuses a client may close its connection before all is written.
+	_, _ = io.WriteString(c, text)
+	return c, bufio.NewReader(c)
+}
+
+// await waits for a condition.
+func (s *testServer) await(what string, ok func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			s.t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+// answer reads an answer and its body.
+func answer(t *testing.T, r *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	res, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res, string(data)
+}
+
+func post(path string, length int, fields ...string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: h\r\n" + strings.Join(fields, "") + "Content-Length: " + strconv.Itoa(length) + "\r\n\r\n"
+}
+
+// fields returns short fields of n bytes in all.
+func fields(n int) string {
+	out := strings.Repeat("a:\r\n", n/4-2)
+	return out + "b:" + strings.Repeat("x", n-len(out)-4) + "\r\n"
+}
+
+// TestHeadLimit checks that a header of just the limit is served, however short its lines, that a longer one and one
+// without end are refused, and that this holds for requests that are sent ahead.
+func TestHeadLimit(t *testing.T) {
+	host := "Host: h\r\n"
+	get := func(header string) string { return "GET /read HTTP/1.1\r\n" + header }
+	tests := map[string]struct {
+		text     string
+		statuses []int
+	}{
+		"at the limit":                {get(host + fields(testHeaderBytes-len(host)) + "\r\n"), []int{200}},
+		"over the limit":              {get(host + fields(testHeaderBytes+1-len(host)) + "\r\n"), []int{431}},
+		"without end":                 {get(host + fields(60<<10)), []int{431}},
+		"request line without end":    {"GET /" + strings.Repeat("x", 60<<10), []int{431}},
+		"ahead, at the limit":         {get(host+"\r\n") + get(host+fields(testHeaderBytes-len(host))+"\r\n"), []int{200, 200}},
+		"ahead, over the limit":       {get(host+"\r\n") + get(host+fields(testHeaderBytes+1-len(host))+"\r\n"), []int{200, 431}},
+		"ahead, over it after a body": {post("/read", 3) + "abc" + get(host+fields(testHeaderBytes+1-len(host))+"\r\n"), []int{200, 431}},
+		"ahead, without end":          {get(host+"\r\n") + get(host+fields(60<<10)), []int{200, 431}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := startTestServer(t, 16<<20, 0)
+			_, r := s.dial(tt.text)
+			for _, status := range tt.statuses {
+				res, _ := answer(t, r)
+				is.Equal(res.StatusCode, status)
+				is.Equal(res.Close, status == 431)
+				if status == 431 {
+					is.Equal(res.Header.Get("Outcome"), "NotRun")
+				}
+			}
+			s.stop()
+			s.await("all memory to be free", func() bool { return s.budget.Used() == 0 })
+		})
+	}
+}
+
+// TestNoRoom checks that a request that finds no room is refused at once with a Retry-After, before its body is read,
+// and that a short request is served beside those that took the room.
+func TestNoRoom(t *testing.T) {
+	body := strings.Repeat("x", testBodyBytes)
+	tests := map[string]string{
+		"body of known length": post("/read", testBodyBytes),
+		"body in chunks":       "POST /read HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s", testBodyBytes-1, body[1:]),
+		"many lines":           "POST /read HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n" + fields(testHeaderBytes-30) + "\r\n",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := startTestServer(t, 3<<20, 0)
+			// Uploads that go on take the room for long requests.
+			_, _ = s.dial(post("/read", testBodyBytes-200<<10))
+			_, _ = s.dial(post("/read", testBodyBytes-200<<10))
+			s.await("two requests", func() bool { return s.handled.Load() == 2 })
+			began := time.Now()
+			_, r := s.dial(text)
+			res, _ := answer(t, r)
+			is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+			is.True(res.Close)
+			is.True(time.Since(began) < atOnce)
+			_, r = s.dial(post("/read", 4) + "body")
+			_, got := answer(t, r)
+			is.Equal(got, "4")
+			s.stop()
+			s.await("all memory to be free", func() bool { return s.budget.Used() == 0 })
+		})
+	}
+}
+
+// TestStalledClientsGiveWay checks that clients that stall lose their connections to those that need their room, and not
+// before.
+func TestStalledClientsGiveWay(t *testing.T) {
+	tests := map[string]struct {
+		text    string
+		clients int
+	}{
+		"bodies without their last byte": {post("/read", testBodyBytes) + strings.Repeat("x", testBodyBytes-1), 1},
+		"heads without their end":        {"GET /read HTTP/1.1\r\n" + fields(testHeaderBytes-100), 40},
+		"answers that are not read":      {"GET /long HTTP/1.1\r\nHost: h\r\n" + fields(testHeaderBytes-100) + "\r\n", 40},
+		"silent channels":                {"", 300},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := startTestServer(t, 2<<20, 0)
+			for range tt.clients {
+				_, _ = s.dial(tt.text)
+			}
+			s.await("a long body to be served", func() bool {
+				_, r := s.dial(post("/read", testBodyBytes) + strings.Repeat("x", testBodyBytes))
+				res, err := http.ReadResponse(r, nil)
+				return err == nil && res.StatusCode == http.StatusOK
+			})
+			is.True(s.reasonCount(ReasonStalled) > 0)
+			s.stop()
+			s.await("all memory to be free", func() bool { return s.budget.Used() == 0 })
+		})
+	}
+}
+
+// TestConnectionsAreBounded checks that no more connections than the limit are open, and that a client is served beside
+// silent ones.
+func TestConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := startTestServer(t, 16<<20, 16)
+	for range 64 {
+		_, _ = s.dial("")
+	}
+	s.await("a client to be served", func() bool {
+		_, r := s.dial(post("/read", 4) + "body")
+		res, err := http.ReadResponse(r, nil)
+		return err == nil && res.StatusCode == http.StatusOK
+	})
+	is.True(s.reasonCount(ReasonConnections) > 0)
+	is.True(s.reasonCount(ReasonStalled) > 0)
+}
+
+// TestRefusalArrives checks that a client that goes on sending gets its refusal.
+func TestRefusalArrives(t *testing.T) {
+	is := is.New(t)
+	s := startTestServer(t, 16<<20, 0)
+	for range 20 {
+		c, r := s.dial("GET /read HTTP/1.1\r\n" + fields(testHeaderBytes+100))
+		for range 4 {
+			_, _ = io.WriteString(c, fields(8<<10))
+		}
+		res, _ := answer(t, r)
+		is.Equal(res.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+	}
+}
+
+// TestRequestsSentAhead checks that requests that are sent before the answers to earlier ones are answered in order, and
+// that what is sent on without end neither stays in memory nor cuts the answers off.
+func TestRequestsSentAhead(t *testing.T) {
+	is := is.New(t)
+	s := startTestServer(t, 16<<20, 0)
+	c, r := s.dial("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n" + post("/read", 3) + "abc" + post("/read", 2) + "ab")
+	s.await("the first request", func() bool { return s.handled.Load() == 1 })
+	close(s.proceed)
+	res, _ := answer(t, r)
+	is.Equal(res.StatusCode, http.StatusOK)
+	_, text := answer(t, r)
+	is.Equal(text, "3")
+	_, text = answer(t, r)
+	is.Equal(text, "2")
+	_ = c.Close()
+	s.await("all memory to be free", func() bool { return s.budget.Used() == 0 })
+}
+
+// TestNothingIsLost checks that all memory is free after clients of all kinds, ended at any byte.
+func TestNothingIsLost(t *testing.T) {
+	s := startTestServer(t, 4<<20, 64)
+	texts := []string{
+		post("/read", 20<<10) + strings.Repeat("x", 20<<10), post("/none", 5) + "abcde" + post("/read", 3) + "abc",
+		"GET /read HTTP/1.1\r\nHost: h\r\n" + fields(testHeaderBytes) + "\r\n", "GET /long HTTP/1.1\r\nHost: h\r\n\r\n",
+		"POST /read HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("2;x\r\nab\r\n", 100) + "0\r\nT: 1\r\n\r\n" + post("/read", 0),
+		"\r\n\r\n\r\n", "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n" + post("/read", 1) + "a", "nonsense\r\n\r\n" + post("/read", 1),
+		"POST /read HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n" + post("/read", 1) + "a",
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	var clients sync.WaitGroup
+	for range 300 {
+		text := texts[random.IntN(len(texts))]
+		text = text[:random.IntN(len(text)+1)]
+		pause := time.Duration(random.IntN(20)) * time.Millisecond
+		clients.Go(func() {
+			c, err := net.Dial("tcp", s.address)
+			if err != nil {
+				return
+			}
+			defer func() { _ = c.Close() }()
+			_, _ = io.WriteString(c, text)
+			_ = c.SetReadDeadline(time.Now().Add(pause))
+			_, _ = io.CopyN(io.Discard, c, 100<<10)
+		})
+	}
+	clients.Wait()
+	s.await("all memory to be free", func() bool { return s.budget.Used() == 0 })
+	_, r := s.dial(post("/read", testBodyBytes) + strings.Repeat("x", testBodyBytes))
+	_, text := answer(t, r)
+	is.New(t).Equal(text, strconv.Itoa(testBodyBytes))
+}
--- a/pkg/fpframe/scanner.go
+++ b/pkg/fpframe/scanner.go
@@ -296,7 +296,11 @@
 			return Nothing, errors.Wrapf(ErrMalformed, "status %d", s.head.Status)
 		}
 		s.minorVersion = line[7]
-	} else if len(line) > 0 {
+	} else {
+		if len(line) == 0 {
+			// A server ignores empty lines before a request, or rejects them.
+			return Nothing, nil
+		}
 		method, _, _ := bytes.Cut(line, []byte(" "))
 		s.head.Method = string(method)
 	}
