An answer does not wait for the rest of a body that is not read

Callers saw: a 401, 404 or 431 was not sent while the request's body lacked a byte, for 15 s and more.

Cause: net/http reads up to 256 KB of a body that the handler left unread before it sends the answer, to keep the connection.

Change: the handler of a guarded listener reads what has arrived of a short body, for 10 ms at most; if its end is missing, it announces that the connection is closed, with which net/http sends the answer at once. A body that is declared longer than the limit is rejected without being read.

Why it works: the connection is closed after the answer, so the rest of the body belongs to no request.

Result: the test passes, with answers of this host's own and at all listeners (TestAnswerDoesNotWaitForBody); with a body that has arrived the connection is kept.

--- a/internal/fpingress/handler.go
+++ b/internal/fpingress/handler.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -13,7 +14,13 @@
 )
 
 const (
-	minBodyBytes = 4 << 10
+	// arrivedBodyBytes and arrivedBodyTime bound the body of a refused request that is read so that its connection can be
+	// kept: one that has arrived with its head, or nearly so.
+	arrivedBodyBytes = 64 << 10
+	arrivedBodyTime  = 10 * time.Millisecond
+	minBodyBytes     = 4 << 10
+	// answerTime bounds how long a connection stays open that is closed after a refusal.
+	answerTime = 500 * time.Millisecond
 )
 
 type (
@@ -24,6 +31,20 @@
 		conn    *conn
 		message *message
 	}
+
+	// body is a request's body that knows whether it has been read to its end.
+	body struct {
+		io.ReadCloser
+		ended bool
+	}
+
+	// responseWriter answers a request without waiting for the rest of its body.
+	responseWriter struct {
+		http.ResponseWriter
+		request *http.Request
+		body    *body
+		begun   bool
+	}
 )
 
 // ConnContext is the ConnContext of a server whose listener is guarded.
@@ -35,9 +56,11 @@
 }
 
 // Handler returns the handler of a server whose listener is guarded: it refuses what the guard refused, and passes the
-// rest on to next.
+// rest on to next. Its answers don't wait for bodies that next does not read.
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer := &responseWriter{ResponseWriter: w, request: r, body: &body{ReadCloser: r.Body}}
+		r.Body = answer.body
 		if v, ok := r.Context().Value(contextKey{}).(*requestContext); ok {
 			message, reason := v.conn.beginHandling()
 			defer v.conn.endHandling()
@@ -45,16 +68,78 @@
 			if reason != "" {
 				v.conn.guard.refused(reason, v.conn)
 				status, header := reason.response(v.conn.guard.settings.RefusalHeader)
-				maps.Copy(w.Header(), header)
-				w.Header().Set("Connection", "close")
-				w.WriteHeader(status)
+				maps.Copy(answer.Header(), header)
+				answer.Header().Set("Connection", "close")
+				answer.WriteHeader(status)
 				return
 			}
 		}
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(answer, r)
+		answer.begin()
 	})
 }
 
+// Read reads the body.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || errors.Is(err, io.EOF)
+	return n, err
+}
+
+// Unwrap returns the writer of the server.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader begins the answer.
+func (w *responseWriter) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		w.begin()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the answer.
+func (w *responseWriter) Write(p []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(p)
+}
+
+// Flush sends what was written.
+func (w *responseWriter) Flush() {
+	w.begin()
+	// The error is ignored, as http.Flusher returns none; a later write returns it.
+	_ = http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// FlushError sends what was written.
+func (w *responseWriter) FlushError() error {
+	w.begin()
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// begin prepares the answer to a request whose body was not read: unless the rest of the body has arrived already, the
+// connection is closed after the answer, which does not wait for the body.
+func (w *responseWriter) begin() {
+	if w.begun {
+		return
+	}
+	w.begun = true
+	if w.body.ended || w.request.ContentLength == 0 {
+		return
+	}
+	controller := http.NewResponseController(w.ResponseWriter)
+	if w.request.Header.Get("Expect") == "" && w.request.ContentLength <= arrivedBodyBytes && controller.SetReadDeadline(time.Now().Add(arrivedBodyTime)) == nil {
+		n, err := io.CopyN(io.Discard, w.body, arrivedBodyBytes+1)
+		if errors.Is(err, io.EOF) && n <= arrivedBodyBytes {
+			// The error is ignored: the server sets a deadline for the next request.
+			_ = controller.SetReadDeadline(time.Time{})
+			return
+		}
+	}
+	w.Header().Set("Connection", "close")
+	// What the server still reads of the body is bounded.
+	_ = controller.SetReadDeadline(time.Now().Add(answerTime))
+}
+
 // AnswerMemory returns the memory that the answer to a request takes, or nil if its listener is not guarded.
 func AnswerMemory(r *http.Request) *fpbudget.Reservation {
 	if v, ok := r.Context().Value(contextKey{}).(*requestContext); ok && v.message != nil {
--- a/internal/fpingress/ingress_test.go
+++ b/internal/fpingress/ingress_test.go
@@ -269,6 +269,41 @@
 	is.True(s.reasonCount(ReasonStalled) > 0)
 }
 
+// TestAnswerDoesNotWaitForBody checks that an answer is sent while the request's body lacks a byte, and that the
+// connection is kept if the body has arrived.
+func TestAnswerDoesNotWaitForBody(t *testing.T) {
+	chunked := "POST /none HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+	tests := map[string]struct {
+		text   string
+		status int
+		kept   bool
+	}{
+		"a byte missing":           {post("/none", 5) + "abcd", 404, false},
+		"no byte of a long body":   {post("/none", testBodyBytes), 404, false},
+		"body declared too long":   {post("/read", testBodyBytes+1) + "x", 413, false},
+		"chunk missing":            {chunked + "1\r\na\r\n", 404, false},
+		"trailer missing":          {chunked + "0\r\n", 404, false},
+		"body not yet sent":        {post("/none", 5, "Expect: 100-continue\r\n"), 404, false},
+		"whole body":               {post("/none", 5) + "abcde", 404, true},
+		"whole body in chunks":     {chunked + "1\r\na\r\n0\r\n\r\n", 404, true},
+		"no body":                  {post("/none", 0), 404, true},
+		"header over the limit":    {post("/none", 5, fields(testHeaderBytes)), 431, false},
+		"head and body incomplete": {"POST /none HTTP/1.1\r\nContent-Length: 9\r\n" + fields(testHeaderBytes), 431, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := startTestServer(t, 16<<20, 0)
+			began := time.Now()
+			_, r := s.dial(tt.text)
+			res, _ := answer(t, r)
+			is.True(time.Since(began) < atOnce)
+			is.Equal(res.StatusCode, tt.status)
+			is.Equal(res.Close, !tt.kept)
+		})
+	}
+}
+
 // TestRefusalArrives checks that a client that goes on sending gets its refusal.
 func TestRefusalArrives(t *testing.T) {
 	is := is.New(t)
