A header of the longest legal size is served, however short its lines are

Callers saw: a lone legal head of 16.2 KB in short lines got 431.

Cause: the handler reckoned the size from the parsed fields, with a blank after each colon that the caller had not sent.

Evidence: TestHeaderAtLimit at: 431 for a header of just the limit.

Change: the limit is checked against the bytes that arrived, by the guard alone. The request line and the line that ends the header are not counted in it.

Result: a header of the limit is served, one of a byte more gets 431.

--- a/internal/fpgateway/client_test.go
+++ b/internal/fpgateway/client_test.go
@@ -30,6 +30,22 @@
 
 const ordinaryHeader = "Host: a.example\r\nAttempt-Id: id\r\nAuthorization: Token key\r\n"
 
+// TestHeaderAtLimit checks that a header of just the configuration's limit is served, however short its lines are.
+func TestHeaderAtLimit(t *testing.T) {
+	is := is.New(t)
+	tc := newTestCluster(t)
+	limit := configDocument(1)["limits"].(map[string]any)["max_header_bytes"].(int)
+	header := ordinaryHeader + strings.Repeat("a:\r\n", (limit-len(ordinaryHeader))/4-2)
+	header += "b:" + strings.Repeat("x", limit-len(header)-4) + "\r\n"
+	is.Equal(len(header), limit)
+	res, err := tc.sendText("GET /read/x HTTP/1.1\r\n" + header + "\r\n")
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusOK)
+	res, err = tc.sendText("GET /read/x HTTP/1.1\r\n" + strings.Replace(header, "b:", "b:x", 1) + "\r\n")
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+}
+
 // TestRefusalDoesNotWaitForBody checks that a refusal is sent while the request's body lacks a byte.
 func TestRefusalDoesNotWaitForBody(t *testing.T) {
 	tests := map[string]struct {
--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -156,9 +156,6 @@
 	if c == nil {
 		return &rejection{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: staleConfigRetryAfter}
 	}
-	if n := c.Limits().MaxHeaderBytes; n > 0 && headerBytes(q.http) > n {
-		return &rejection{status: http.StatusRequestHeaderFieldsTooLarge, reason: "the header is too long"}
-	}
 	proof := q.snapshot.proof
 	configFresh := proof.AllowsDenial(g.settings().Freshness, g.clock())
 	q.route = c.Route(q.http.Host, q.http.URL.EscapedPath())
@@ -257,17 +254,6 @@
 	return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
 }
 
-// headerBytes returns the size of the request line and header as sent.
-func headerBytes(r *http.Request) int {
-	n := len(r.Method) + len(r.RequestURI) + len(r.Host) + len(" HTTP/1.1\r\n \r\n") + len("Host: \r\n")
-	for k, values := range r.Header {
-		for _, v := range values {
-			n += len(k) + len(v) + len(": \r\n")
-		}
-	}
-	return n
-}
-
 // reject answers a request with an error of this host's own.
 func (q *request) reject(d *rejection) {
 	q.status, q.reason = d.status, d.reason
