Answers kept for repeats are bounded by their bytes too

Seen: by reading. A host with its own interface keeps up to 10,000 answers of up to 8 MB each for repeats of non-idempotent calls.

Change: the oldest are evicted beyond 32 MB as beyond their number; a repeat of such a call is told that its outcome is not known.

Result: TestKeptAnswersAreBounded (the table had no such bound before: by construction).

--- a/internal/fpclaimant/answers.go
+++ b/internal/fpclaimant/answers.go
@@ -53,16 +53,19 @@
 	AttemptTable struct {
 		mu       sync.Mutex
 		maxEnded int
+		maxBytes int
 		entries  map[fpclaim.Key]*Entry
 		ended    []*Entry
+		// endedBytes is the size of the answers of the ended entries.
+		endedBytes int
 		// forgottenAt is the latest end of a dispatched attempt that was evicted.
 		forgottenAt time.Time
 	}
 )
 
-// NewAttemptTable returns a table that stores at most size ended entries.
-func NewAttemptTable(size int) *AttemptTable {
-	return &AttemptTable{maxEnded: size, entries: make(map[fpclaim.Key]*Entry)}
+// NewAttemptTable returns a table that stores at most size ended entries, with answers of the given bytes in all.
+func NewAttemptTable(size, bytes int) *AttemptTable {
+	return &AttemptTable{maxEnded: size, maxBytes: bytes, entries: make(map[fpclaim.Key]*Entry)}
 }
 
 // BeginAttempt returns the entry of a request and whether this call began it. If an
@@ -97,9 +100,11 @@
 	e.result, e.endedAt = r, time.Now()
 	close(e.done)
 	a.ended = append(a.ended, e)
-	for len(a.ended) > a.maxEnded {
+	a.endedBytes += len(r.Body)
+	for len(a.ended) > a.maxEnded || a.endedBytes > a.maxBytes {
 		oldest := a.ended[0]
 		a.ended = a.ended[1:]
+		a.endedBytes -= len(oldest.result.Body)
 		if a.entries[oldest.Key] == oldest {
 			delete(a.entries, oldest.Key)
 			if oldest.state() != NeverDispatched {
--- a/internal/fpclaimant/answers_test.go
+++ b/internal/fpclaimant/answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -27,7 +28,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			a := NewAttemptTable(10)
+			a := NewAttemptTable(10, 1<<20)
 			e, begun := a.BeginAttempt("k", 1, "first")
 			is.True(begun)
 			tt.prepare(a, e)
@@ -51,7 +52,7 @@
 // TestSeal checks that only attempts that ended without being dispatched can be sealed.
 func TestSeal(t *testing.T) {
 	is := is.New(t)
-	a := NewAttemptTable(10)
+	a := NewAttemptTable(10, 1<<20)
 	running, _ := a.BeginAttempt("running", 1, "r")
 	is.True(!a.Seal(running))
 	dispatched, _ := a.BeginAttempt("dispatched", 1, "d")
@@ -65,11 +66,27 @@
 	is.True(a.MayHaveDispatched("running"))
 }
 
+// TestKeptAnswersAreBounded checks that the oldest answers are evicted beyond the bytes that all may take, and that those
+// are missed as forgotten ones.
+func TestKeptAnswersAreBounded(t *testing.T) {
+	is := is.New(t)
+	a := NewAttemptTable(100, 1000)
+	for _, k := range []fpclaim.Key{"a", "b", "c"} {
+		e, _ := a.BeginAttempt(k, 1, string(k))
+		e.Ledger.MarkDispatched()
+		a.EndAttempt(e, Result{Body: make([]byte, 400)})
+	}
+	is.Equal(a.Find("a", "a"), nil)
+	is.True(a.Find("b", "b") != nil)
+	is.True(a.Find("c", "c") != nil)
+	is.True(a.HasForgotten(time.Minute))
+}
+
 // TestEndedEntriesAreBounded checks that ended entries beyond the size are evicted,
 // which bounds memory.
 func TestEndedEntriesAreBounded(t *testing.T) {
 	is := is.New(t)
-	a := NewAttemptTable(2)
+	a := NewAttemptTable(2, 1<<20)
 	for _, k := range []fpclaim.Key{"a", "b", "c"} {
 		e, _ := a.BeginAttempt(k, 1, string(k))
 		dispatchAndEnd(a, e)
--- a/internal/fpclaimant/broker_test.go
+++ b/internal/fpclaimant/broker_test.go
@@ -45,9 +45,9 @@
 			peer := Member{Name: "b", Address: "b", Incarnation: uint64(tt.peerIncarnation.UnixNano()), StartedAt: tt.peerStartedAt}
 			self := Member{Name: "a", Incarnation: uint64(tt.selfIncarnation.UnixNano()), StartedAt: tt.selfStartedAt}
 			none := func() []Member { return nil }
-			other := NewBroker(peer, window, nil, NewAttemptTable(1), nil, none, nil)
+			other := NewBroker(peer, window, nil, NewAttemptTable(1, 1<<20), nil, none, nil)
 			peer.StartedAt = time.Time{}
-			b := NewBroker(self, window, nil, NewAttemptTable(1), brokerPeers{broker: other}, func() []Member { return []Member{peer} }, nil)
+			b := NewBroker(self, window, nil, NewAttemptTable(1, 1<<20), brokerPeers{broker: other}, func() []Member { return []Member{peer} }, nil)
 			is.New(t).Equal(b.ProvenNeverDispatched(context.Background(), fpclaim.NewKey("t", "r")), tt.want)
 		})
 	}
@@ -74,7 +74,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				long := time.Now().Add(-2 * window)
-				own, peers := NewAttemptTable(1), NewAttemptTable(1)
+				own, peers := NewAttemptTable(1, 1<<20), NewAttemptTable(1, 1<<20)
 				table := own
 				if tt.atPeer {
 					table = peers
--- a/internal/fpclaimant/write_test.go
+++ b/internal/fpclaimant/write_test.go
@@ -74,7 +74,7 @@
 		for _, m := range f.members {
 			c := New(m.Name, withStoreLatency(store), Settings{Shard: fpclaim.Settings{Linger: batchLinger}})
 			go func() { _ = c.Run(ctx) }()
-			f.brokers[m.Name] = NewBroker(m, 0, c, NewAttemptTable(10), f, func() []Member { return f.membersExcept(m.Name) }, func() {})
+			f.brokers[m.Name] = NewBroker(m, 0, c, NewAttemptTable(10, 1<<20), f, func() []Member { return f.membersExcept(m.Name) }, func() {})
 		}
 		granted := f.runLoad(ctx)
 		writes := store.Counts().Writes * int64(time.Second) / int64(loadDuration)
--- a/internal/fpdispatch/stream_test.go
+++ b/internal/fpdispatch/stream_test.go
@@ -73,7 +73,7 @@
 	}
 	ef.client = fpupstream.NewClient(fpupstream.Settings{Dialer: ef.network.Dial})
 	ef.dispatcher = New(Host{Name: "entry", Incarnation: 1}, Settings{Clock: func() time.Duration { return 0 }},
-		&ef.state, ef.client, nil, fpclaimant.NewAttemptTable(10), fprecord.NewRing(100), fpmetric.New())
+		&ef.state, ef.client, nil, fpclaimant.NewAttemptTable(10, 1<<20), fprecord.NewRing(100), fpmetric.New())
 	ef.publishWeights([]string{"1", "1"})
 	return ef
 }
--- a/internal/fpdispatch/testfleet_test.go
+++ b/internal/fpdispatch/testfleet_test.go
@@ -111,7 +111,7 @@
 		index:       index,
 		name:        fmt.Sprintf("entry-%d", index),
 		incarnation: uint64(started.UnixNano()),
-		answers:     fpclaimant.NewAttemptTable(100),
+		answers:     fpclaimant.NewAttemptTable(100, 1<<20),
 		records:     fprecord.NewRing(1000),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/fphost/host.go
+++ b/internal/fphost/host.go
@@ -90,7 +90,7 @@
 		controlLoop:    newControlLoop(),
 		store:          fpplatform.NewClient(s.Platform.Address),
 		upstreams:      fpupstream.NewClient(fpupstream.Settings{SilenceTimeout: s.Placement.Silence}),
-		attempts:       fpclaimant.NewAttemptTable(s.Limits.KeptAnswers),
+		attempts:       fpclaimant.NewAttemptTable(s.Limits.KeptAnswers, keptAnswerBytes),
 		records:        fprecord.NewRing(s.Limits.Records),
 		metrics:        fpmetric.New(),
 		peerSecret:     []byte(strings.TrimSpace(string(secret))),
--- a/internal/fphost/serve.go
+++ b/internal/fphost/serve.go
@@ -18,6 +18,8 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = time.Minute
+	// keptAnswerBytes bounds the answers that are kept for repeats.
+	keptAnswerBytes = 32 << 20
 )
 
 type (
