A host with its own interface keeps its connections, requests and answers within its memory

Change: the listeners for callers, peers and operators stand behind a guard with one budget, which the answers of services take from as well. Limits.MemoryBytes and Limits.MaxConnections are new; a host does not start whose memory has no room for one body of Limits.MaxBodyBytes. Refusals say NotRun. A listener with TLS speaks HTTP/1.1 only, as its requests are counted on the connection; a client without TLS is told so as before.

--- a/internal/fpcaller/server.go
+++ b/internal/fpcaller/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/fescuepoint/fescuepoint/internal/fpchat"
 	"github.com/fescuepoint/fescuepoint/internal/fpdispatch"
+	"github.com/fescuepoint/fescuepoint/internal/fpingress"
 	"github.com/fescuepoint/fescuepoint/internal/fpmetric"
 	"github.com/fescuepoint/fescuepoint/internal/fpstate"
 	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
@@ -28,6 +29,8 @@
 const (
 	maxRequestIDBytes = 128
 	bearerPrefix      = "Bearer "
+	// noMemoryRetryAfter is the Retry-After while the memory for requests is used up.
+	noMemoryRetryAfter = time.Second
 )
 
 type (
@@ -206,7 +209,7 @@
 		s.writeRefusal(w, q.RequestID, reqErr)
 		return q, t, nil, false
 	}
-	q.BodyReadAt = s.dispatcher.Now()
+	q.BodyReadAt, q.AnswerMemory = s.dispatcher.Now(), fpingress.AnswerMemory(r)
 	return q, t, data, true
 }
 
@@ -248,9 +251,12 @@
 }
 
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *requestError) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.settings.MaxBodyBytes)))
+	data, err := fpingress.ReadBody(w, r, int64(s.settings.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, fpingress.ErrNoMemory):
+		setRetryAfter(w, noMemoryRetryAfter)
+		return nil, &requestError{http.StatusServiceUnavailable, "no_memory", "this host has no memory for the body now"}
 	case errors.As(err, &tooLarge):
 		return nil, &requestError{http.StatusRequestEntityTooLarge, "too_large", "the body is larger than " + strconv.Itoa(s.settings.MaxBodyBytes) + " bytes"}
 	case err != nil:
--- a/internal/fpdispatch/dispatcher.go
+++ b/internal/fpdispatch/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpmetric"
 	"github.com/fescuepoint/fescuepoint/internal/fpstate"
 	"github.com/fescuepoint/fescuepoint/internal/fpupstream"
+	"github.com/fescuepoint/fescuepoint/pkg/fpbudget"
 	"github.com/fescuepoint/fescuepoint/pkg/fpclaim"
 	"github.com/fescuepoint/fescuepoint/pkg/fplimit"
 	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
@@ -98,6 +99,8 @@
 		BodyReadAt time.Duration
 		// BodyHash is a hash of the request body; it tells a repeat from a reused request ID.
 		BodyHash uint64
+		// AnswerMemory is what an answer that is not streamed takes; nil has no limit.
+		AnswerMemory *fpbudget.Reservation
 	}
 
 	// Sink receives an answer's text in order.
--- a/internal/fpdispatch/service.go
+++ b/internal/fpdispatch/service.go
@@ -103,6 +103,7 @@
 		Path:         c.Path,
 		Header:       http.Header{},
 		Body:         c.Body,
+		Memory:       q.AnswerMemory,
 		OnConnected:  ledger.MarkDispatched,
 		DispatchGate: d.gateFor(startOf(u), dispatchGate),
 		OnIntake:     d.recordIntake(startOf(u)),
--- a/internal/fphost/host.go
+++ b/internal/fphost/host.go
@@ -1,12 +1,15 @@
 package fphost
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,11 +21,13 @@
 	"github.com/oklog/run"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpcaller"
+	"github.com/fescuepoint/fescuepoint/internal/fpchat"
 	"github.com/fescuepoint/fescuepoint/internal/fpclaimant"
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/internal/fpdispatch"
 	"github.com/fescuepoint/fescuepoint/internal/fpfollower"
 	"github.com/fescuepoint/fescuepoint/internal/fpgossip"
+	"github.com/fescuepoint/fescuepoint/internal/fpingress"
 	"github.com/fescuepoint/fescuepoint/internal/fpmetric"
 	"github.com/fescuepoint/fescuepoint/internal/fpoperator"
 	"github.com/fescuepoint/fescuepoint/internal/fppeer"
@@ -30,10 +35,12 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpsetting"
 	"github.com/fescuepoint/fescuepoint/internal/fpstate"
 	"github.com/fescuepoint/fescuepoint/internal/fpupstream"
+	"github.com/fescuepoint/fescuepoint/pkg/fpbudget"
 	"github.com/fescuepoint/fescuepoint/pkg/fpclaim"
 	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
 	"github.com/fescuepoint/fescuepoint/pkg/fplimit"
 	"github.com/fescuepoint/fescuepoint/pkg/fpmember"
+	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
 	"github.com/fescuepoint/fescuepoint/pkg/fprecord"
 	"github.com/fescuepoint/fescuepoint/pkg/fproute"
 )
@@ -55,13 +62,16 @@
 		claimant    *fpclaimant.Claimant
 		attempts    *fpclaimant.AttemptTable
 		*fpclaimant.Broker
-		follower          *fpfollower.Follower
-		gossipSocket      *fpgossip.Socket
-		records           *fprecord.Ring
-		metrics           *fpmetric.Set
-		dispatcher        *fpdispatch.Dispatcher
-		callerServer      *fpcaller.Server
-		peerSecret        []byte
+		follower     *fpfollower.Follower
+		gossipSocket *fpgossip.Socket
+		records      *fprecord.Ring
+		metrics      *fpmetric.Set
+		dispatcher   *fpdispatch.Dispatcher
+		callerServer *fpcaller.Server
+		peerSecret   []byte
+		// memory bounds what connections, requests and answers hold, and guard admits clients to it.
+		memory            *fpbudget.Budget
+		guard             *fpingress.Guard
 		lastRequestNumber atomic.Uint64
 		fetchingPatches   atomic.Bool
 		startDelay        time.Duration
@@ -90,7 +100,7 @@
 		controlLoop:    newControlLoop(),
 		store:          fpplatform.NewClient(s.Platform.Address),
 		upstreams:      fpupstream.NewClient(fpupstream.Settings{SilenceTimeout: s.Placement.Silence}),
-		attempts:       fpclaimant.NewAttemptTable(s.Limits.KeptAnswers, keptAnswerBytes),
+		attempts:       fpclaimant.NewAttemptTable(s.Limits.KeptAnswers, int(keptAnswersShare*float64(s.Limits.MemoryBytes))),
 		records:        fprecord.NewRing(s.Limits.Records),
 		metrics:        fpmetric.New(),
 		peerSecret:     []byte(strings.TrimSpace(string(secret))),
@@ -99,12 +109,32 @@
 		drainRequested: make(chan struct{}),
 		interrupted:    make(chan struct{}),
 	}
+	if err := h.buildGuard(); err != nil {
+		return nil, err
+	}
 	if err := h.buildComponents(); err != nil {
 		return nil, err
 	}
 	return h, nil
 }
 
+// buildGuard builds the guard of all listeners. It fails if the memory has no room for the longest body.
+func (h *Host) buildGuard() error {
+	l := h.settings.Limits
+	h.memory = fpbudget.New(max(int64(trafficMemoryShare*float64(l.MemoryBytes)), minTrafficMemoryBytes))
+	if n := int64(bodyCopies * l.MaxBodyBytes); n > h.memory.LongRequests() {
+		return errors.Newf("Limits.MemoryBytes: %d leave %d for requests; one with a body of Limits.MaxBodyBytes takes %d", l.MemoryBytes, h.memory.LongRequests(), n)
+	}
+	if l.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(l.MemoryBytes)))
+	}
+	h.guard = fpingress.NewGuard(fpingress.Settings{
+		Budget: h.memory, MaxConnections: min(cmp.Or(l.MaxConnections, math.MaxInt), fpingress.MaxConnections(0)), Clock: fpclock.SinceBoot,
+		OnRefuse: h.recordRefusedClient, RefusalHeader: http.Header{fpchat.OutcomeHeader: {fpoutcome.NotRun.String()}},
+	})
+	return nil
+}
+
 // buildComponents builds the clients, the claimant, the dispatcher and the callers' server.
 func (h *Host) buildComponents() error {
 	s := h.settings
@@ -222,10 +252,10 @@
 		ctx, cancel := context.WithCancel(runCtx)
 		g.Add(func() error { return f(ctx) }, func(error) { cancel() })
 	}
-	callers := h.newServer("callers", h.settings.Callers, h.callerHandler())
+	callers := h.newServer("callers", h.settings.Callers, h.callerHandler(), false)
 	for _, l := range []*listenerServer{
-		h.newServer("peers", h.settings.Peers.Listener(), fppeer.NewHandler(h, h.peerSecret)),
-		h.newServer("operators", h.settings.Operators.Listener(), h.operatorHandler()),
+		h.newServer("peers", h.settings.Peers.Listener(), fppeer.NewHandler(h, h.peerSecret), true),
+		h.newServer("operators", h.settings.Operators.Listener(), h.operatorHandler(), true),
 		callers,
 	} {
 		g.Add(l.serve, func(error) { l.stop() })
@@ -270,6 +300,14 @@
 	return nil
 }
 
+// recordRefusedClient records a client that was refused, or whose connection was closed, for a limit or for want of room.
+func (h *Host) recordRefusedClient(r fpingress.Refusal) {
+	h.metrics.AddToCounter("clients_refused_"+string(r.Reason), 1)
+	if !r.Quiet {
+		_ = h.logger.Log("Message", "client refused", "Client", r.Client, "Reason", string(r.Reason), "MemoryUsed", h.memory.Used(), "MemoryLimit", h.memory.Limit())
+	}
+}
+
 // Drain begins a planned stop and returns at once.
 func (h *Host) Drain() { h.drainOnce.Do(func() { close(h.drainRequested) }) }
 
--- a/internal/fphost/serve.go
+++ b/internal/fphost/serve.go
@@ -12,14 +12,21 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpconn"
+	"github.com/fescuepoint/fescuepoint/internal/fpingress"
 	"github.com/fescuepoint/fescuepoint/internal/fpsetting"
 )
 
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = time.Minute
-	// keptAnswerBytes bounds the answers that are kept for repeats.
-	keptAnswerBytes = 32 << 20
+	// bodyCopies is how often a body is held: as received, decoded and encoded for an upstream.
+	bodyCopies = 3
+	// trafficMemoryShare is the share of the memory that connections, requests and answers may hold at one time,
+	// keptAnswersShare that of answers kept for repeats, and memoryLimitShare that of the garbage collector's soft limit.
+	trafficMemoryShare    = 0.4
+	keptAnswersShare      = 0.125
+	memoryLimitShare      = 0.7
+	minTrafficMemoryBytes = 16 << 20
 )
 
 type (
@@ -28,16 +35,27 @@
 		host     *Host
 		name     string
 		settings fpsetting.Listener
+		rules    fpingress.Rules
 		server   *http.Server
 	}
 )
 
-func (h *Host) newServer(name string, settings fpsetting.Listener, handler http.Handler) *listenerServer {
-	return &listenerServer{host: h, name: name, settings: settings, server: &http.Server{
-		Handler:           handler,
+func (h *Host) newServer(name string, settings fpsetting.Listener, handler http.Handler, control bool) *listenerServer {
+	l := h.settings.Limits
+	rules := fpingress.Rules{
+		HeaderBytes: func() int { return l.MaxHeaderBytes },
+		BodyBytes:   func() int64 { return int64(l.MaxBodyBytes) },
+		BodyCopies:  bodyCopies,
+		Control:     control,
+	}
+	return &listenerServer{host: h, name: name, settings: settings, rules: rules, server: &http.Server{
+		Handler:           fpingress.Handler(handler),
+		ConnContext:       fpingress.ConnContext,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    h.settings.Limits.MaxHeaderBytes,
+		MaxHeaderBytes:    l.MaxHeaderBytes,
+		// The handler gets each request that the guard counts.
+		DisableGeneralOptionsHandler: true,
 	}}
 }
 
@@ -45,16 +63,19 @@
 // only when the run group is interrupted, because the group interrupts all its
 // members as soon as one returns.
 func (l *listenerServer) serve() error {
-	listener, err := net.Listen("tcp", l.settings.Address)
+	listener, err := fpingress.Listen(l.settings.Address)
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", l.name)
 	}
-	_ = l.host.logger.Log("Message", "listening", "For", l.name, "Address", l.settings.Address, "TLS", l.settings.CertificateFile != "")
-	if l.settings.CertificateFile == "" {
-		err = l.server.Serve(listener)
-	} else {
-		err = l.server.ServeTLS(listener, l.settings.CertificateFile, l.settings.KeyFile)
+	if l.settings.CertificateFile != "" {
+		certificate, err := tls.LoadX509KeyPair(l.settings.CertificateFile, l.settings.KeyFile)
+		if err != nil {
+			return errors.Wrapf(err, "certificate of %s", l.name)
+		}
+		listener = tls.NewListener(listener, &tls.Config{Certificates: []tls.Certificate{certificate}, NextProtos: []string{"http/1.1"}, MinVersion: tls.VersionTLS12})
 	}
+	_ = l.host.logger.Log("Message", "listening", "For", l.name, "Address", l.settings.Address, "TLS", l.settings.CertificateFile != "")
+	err = l.server.Serve(l.host.guard.Guard(listener, l.rules))
 	if errors.Is(err, http.ErrServerClosed) {
 		<-l.host.interrupted
 		return nil
--- a/internal/fphost/start_test.go
+++ b/internal/fphost/start_test.go
@@ -20,3 +20,16 @@
 	h.startDelay = time.Hour
 	is.True(!h.shouldWatchPlatform())
 }
+
+// TestMemoryForLongestBody checks that a host does not start whose memory has no room for the longest body.
+func TestMemoryForLongestBody(t *testing.T) {
+	is := is.New(t)
+	s := newTestSettings(t, "127.0.0.1:1")
+	s.Limits.MemoryBytes = 64 << 20
+	s.Limits.MaxBodyBytes = 16 << 20
+	_, err := New(s, log.NewNopLogger())
+	is.True(err != nil)
+	s.Limits.MemoryBytes = 256 << 20
+	_, err = New(s, log.NewNopLogger())
+	is.NoErr(err)
+}
--- a/internal/fpupstream/call.go
+++ b/internal/fpupstream/call.go
@@ -66,7 +66,7 @@
 		_ = res.Body.Close()
 		return callResult{err: err}
 	}
-	response, err := readResponse(ctx, res, a.ID)
+	response, err := a.readResponse(ctx, res)
 	return callResult{response: response, err: err}
 }
 
@@ -123,7 +123,7 @@
 		return Response{}, err
 	}
 	a.reportIntake(res)
-	return readResponse(ctx, res, a.ID)
+	return a.readResponse(ctx, res)
 }
 
 // isReachable reports whether the upstream responds over a new connection.
@@ -139,7 +139,7 @@
 
 // readResponse reads the complete response if it echoes the attempt's ID. Its
 // status doesn't matter, since an error status is the service's response too.
-func readResponse(ctx context.Context, res *http.Response, attemptID string) (Response, error) {
+func (a Attempt) readResponse(ctx context.Context, res *http.Response) (Response, error) {
 	defer func() { _ = res.Body.Close() }()
 	got := res.Header.Get(fpchat.AttemptHeader)
 	switch {
@@ -147,10 +147,10 @@
 		return Response{}, ErrAttemptUnknown
 	case got == "":
 		return Response{}, errors.Wrapf(ErrInterrupted, "status %d without an attempt", res.StatusCode)
-	case got != attemptID:
-		return Response{}, errors.Wrapf(ErrMismatched, "asked for %q, got %q", attemptID, got)
+	case got != a.ID:
+		return Response{}, errors.Wrapf(ErrMismatched, "asked for %q, got %q", a.ID, got)
 	}
-	body, err := fpconn.ReadAll(res.Body, MaxResponseBytes, nil)
+	body, err := fpconn.ReadAll(res.Body, MaxResponseBytes, a.Memory)
 	if err != nil {
 		return Response{}, classifyError(ctx, err)
 	}
--- a/internal/fpupstream/client.go
+++ b/internal/fpupstream/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/fescuepoint/fescuepoint/internal/fpchat"
 	"github.com/fescuepoint/fescuepoint/internal/fpconn"
+	"github.com/fescuepoint/fescuepoint/pkg/fpbudget"
 )
 
 const (
@@ -62,6 +63,8 @@
 		// DispatchGate is called when the connection is established and before the first byte is
 		// sent; an error stops the attempt. It is nil for idempotent attempts.
 		DispatchGate func() error
+		// Memory is what a response that is not streamed takes; nil has no limit.
+		Memory *fpbudget.Reservation
 		// OnIntake, unless nil, is called with what the header of an answer says of new requests.
 		OnIntake func(Intake)
 	}
--- a/pkg/fpbudget/budget.go
+++ b/pkg/fpbudget/budget.go
@@ -57,6 +57,9 @@
 // Limit returns the bytes of the budget.
 func (b *Budget) Limit() int64 { return b.limit }
 
+// LongRequests returns the bytes that long requests may hold.
+func (b *Budget) LongRequests() int64 { return int64(shares[Request].large * float64(b.limit)) }
+
 // Used returns the bytes that are reserved.
 func (b *Budget) Used() int64 {
 	b.mu.Lock()
