A header of the longest legal size passes through a host that forwards

Seen: TestForwardedHeaderAtLimit, new: 431 from the host that the request was forwarded to.

Cause: forwarded lines are written with a blank after the colon, and the forwarding host adds its own, so that the header that is legal at the first host is too long for the second.

Change: the listener for other hosts allows twice the configuration's limit and 1 KB.

--- a/internal/fpgateway/forward_test.go
+++ b/internal/fpgateway/forward_test.go
@@ -66,6 +66,18 @@
 	is.Equal(hosts[0].sendNumberedRequest("read", 30, func(q *http.Request) { q.Header.Set("Authorization", "Token unknown") }).status, http.StatusUnauthorized)
 }
 
+// TestForwardedHeaderAtLimit checks that a header of the longest legal size, in short lines, passes through a host that
+// forwards.
+func TestForwardedHeaderAtLimit(t *testing.T) {
+	is := is.New(t)
+	hosts, _ := newCutCluster(t)
+	const limit = 4096 // the configuration's
+	header := ordinaryHeader + strings.Repeat("a:\r\n", (limit-len(ordinaryHeader))/4)
+	res, err := hosts[0].sendText("GET /read/x HTTP/1.1\r\n" + header + "\r\n")
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusOK)
+}
+
 // TestForwardsOnce checks that a request is refused at once, as not run, where the other hosts are cut off too.
 func TestForwardsOnce(t *testing.T) {
 	is := is.New(t)
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -195,7 +195,9 @@
 	servers := []*server{callers, g.newServer(g.settings().ReadyAddress, g.readyHandler(), own)}
 	clients := []*server{callers}
 	if address := g.settings().peerAddress(); address != "" {
-		peers := g.newServer(address, g.peersHandler(fpfeed.NewHandler(g.settings().Host, &g.history, g.clock)), own)
+		forwarded := own
+		forwarded.HeaderBytes = g.maxForwardedHeaderBytes
+		peers := g.newServer(address, g.peersHandler(fpfeed.NewHandler(g.settings().Host, &g.history, g.clock)), forwarded)
 		peers.optional = true
 		servers, clients = append(servers, peers), append(clients, peers)
 	}
--- a/internal/fpgateway/serve.go
+++ b/internal/fpgateway/serve.go
@@ -21,6 +21,8 @@
 	idleTimeout   = 20 * time.Second
 	// maxHeaderBytes bounds what the server reads of a header; the guard knows the configuration's lower limit.
 	maxHeaderBytes = 64 << 10
+	// maxOwnHeaderBytes bounds what a host adds to the header of a request that it forwards.
+	maxOwnHeaderBytes = 1 << 10
 	// shutdownMargin is the time kept between the end of the last request and the end of the
 	// grace period.
 	shutdownMargin = 500 * time.Millisecond
@@ -62,6 +64,15 @@
 // maxHeaderBytes returns the longest header that the configuration allows, 0 if it says nothing.
 func (g *Gateway) maxHeaderBytes() int { return g.limits().MaxHeaderBytes }
 
+// maxForwardedHeaderBytes returns the longest header of a forwarded request: its lines may be longer by a blank and a
+// return than the caller's, and this module's own are added.
+func (g *Gateway) maxForwardedHeaderBytes() int {
+	if n := g.maxHeaderBytes(); n > 0 {
+		return 2*n + maxOwnHeaderBytes
+	}
+	return 0
+}
+
 // maxBodyBytes returns the longest body that the configuration allows.
 func (g *Gateway) maxBodyBytes() int64 {
 	if n := g.limits().MaxBodyBytes; n > 0 {
