A client that stalls for 30 s loses its connection, also during a planned stop

Seen: TestStopBesideStalledClient, new: a planned stop of a host with its own interface never ends while a client leaves its request unfinished; on the platform such a client keeps its connection until the route's timeout, and one that does not read its answer for good.

Cause: neither reads of bodies nor writes to clients had a bound without load on the host.

Change: the guard looks through the connections and closes those whose request or answer has made no progress, or has fallen behind 256 KB a second, for longer than Limits.StallTimeout (30 s by default, and on the platform). It runs until the last listener has stopped.

--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -163,7 +163,7 @@
 	}
 	g.forwardPool = fpconn.NewPool(p.Clock, nil)
 	g.memory = fpbudget.New(max(int64(float64(s.MemoryBytes)*trafficMemoryShare), minTrafficMemoryBytes))
-	g.guard = fpingress.NewGuard(fpingress.Settings{Budget: g.memory, MaxConnections: s.MaxConnections, Clock: p.Clock, OnRefuse: g.recordRefusedClient})
+	g.guard = fpingress.NewGuard(fpingress.Settings{Budget: g.memory, MaxConnections: s.MaxConnections, StallTimeout: stallTimeout, Clock: p.Clock, OnRefuse: g.recordRefusedClient})
 	g.peerClient, g.storeReaders = fpfeed.NewClient(p.Clock), &storeReaders{skippedUntil: make(map[string]time.Duration)}
 	g.activeSettings.Store(&s)
 	g.snapshot.Store(&snapshot{})
@@ -185,7 +185,7 @@
 	rollout := newRollout(g)
 	for _, f := range []func(context.Context) error{
 		g.logQueue.Run, g.runControl, follower.Run, g.maintainHostEntry, rollout.run, g.runEventReaders, g.receiveNotices, g.applyReloads,
-		g.runQuarantine, g.storeQuarantine, g.shareOrigins, g.confirmOwnOrigins, g.storeBuilds, g.probeUnreachable, g.checkSilentReplicas,
+		g.runQuarantine, g.storeQuarantine, g.shareOrigins, g.confirmOwnOrigins, g.storeBuilds, g.probeUnreachable, g.checkSilentReplicas, g.guard.Run,
 	} {
 		taskCtx, stop := context.WithCancel(inner)
 		r.Add(func() error { return f(taskCtx) }, func(error) { stop() })
--- a/internal/fpgateway/serve.go
+++ b/internal/fpgateway/serve.go
@@ -23,6 +23,8 @@
 	maxHeaderBytes = 64 << 10
 	// maxOwnHeaderBytes bounds what a host adds to the header of a request that it forwards.
 	maxOwnHeaderBytes = 1 << 10
+	// stallTimeout is how long a client may stall in sending a request or reading an answer.
+	stallTimeout = 30 * time.Second
 	// shutdownMargin is the time kept between the end of the last request and the end of the
 	// grace period.
 	shutdownMargin = 500 * time.Millisecond
--- a/internal/fphost/host.go
+++ b/internal/fphost/host.go
@@ -129,8 +129,8 @@
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(l.MemoryBytes)))
 	}
 	h.guard = fpingress.NewGuard(fpingress.Settings{
-		Budget: h.memory, MaxConnections: min(cmp.Or(l.MaxConnections, math.MaxInt), fpingress.MaxConnections(0)), Clock: fpclock.SinceBoot,
-		OnRefuse: h.recordRefusedClient, RefusalHeader: http.Header{fpchat.OutcomeHeader: {fpoutcome.NotRun.String()}},
+		Budget: h.memory, MaxConnections: min(cmp.Or(l.MaxConnections, math.MaxInt), fpingress.MaxConnections(0)), StallTimeout: l.StallTimeout,
+		Clock: fpclock.SinceBoot, OnRefuse: h.recordRefusedClient, RefusalHeader: http.Header{fpchat.OutcomeHeader: {fpoutcome.NotRun.String()}},
 	})
 	return nil
 }
@@ -264,7 +264,12 @@
 		close(h.interrupted)
 		_ = h.gossipSocket.Close()
 	})
+	// A planned stop waits for the clients, so that the guard outlasts the group.
+	guarded := make(chan error, 1)
+	go func() { guarded <- h.guard.Run(runCtx) }()
 	err = g.Run()
+	cancel()
+	<-guarded
 	h.store.Close()
 	h.upstreams.Close()
 	return err
--- a/internal/fphost/start_test.go
+++ b/internal/fphost/start_test.go
@@ -1,11 +1,17 @@
 package fphost
 
 import (
+	"context"
+	"io"
+	"net"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
+
+	"github.com/fescuepoint/fescuepoint/internal/fpstandin"
 )
 
 // TestClockSetBackAfterStart checks that a host without a configuration asks the platform for it once its
@@ -33,3 +39,35 @@
 	_, err = New(s, log.NewNopLogger())
 	is.NoErr(err)
 }
+
+// TestStopBesideStalledClient checks that a planned stop ends although a client never ends its request.
+func TestStopBesideStalledClient(t *testing.T) {
+	is := is.New(t)
+	platform := httptest.NewServer(fpstandin.NewPlatform().Handler())
+	defer platform.Close()
+	s := newTestSettings(t, platform.Listener.Addr().String())
+	s.Limits.StallTimeout = 200 * time.Millisecond
+	h, err := New(s, log.NewNopLogger())
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- h.Run(ctx) }()
+	var c net.Conn
+	waitUntil(t, "a connection", func() bool {
+		c, err = net.Dial("tcp", s.Operators.Address)
+		return err == nil
+	})
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "POST /patch HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "+operatorKey+"\r\nExpect: 100-continue\r\nContent-Length: 100\r\n\r\n")
+	is.NoErr(err)
+	// The handler asks for the body.
+	_, err = c.Read(make([]byte, 1))
+	is.NoErr(err)
+	cancel()
+	select {
+	case err := <-done:
+		is.NoErr(err)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the host does not stop")
+	}
+}
--- a/internal/fpingress/guard.go
+++ b/internal/fpingress/guard.go
@@ -30,6 +30,8 @@
 	receiveBufferBytes = 64 << 10
 	// evictionInterval is the least time from a search for stalled clients that found none to the next.
 	evictionInterval = 10 * time.Millisecond
+	// stallChecks is how often in a stall timeout the connections are looked through.
+	stallChecks = 4
 	// loudRefusals is the number of refusals within a second that are worth a line each.
 	loudRefusals = 20
 	// controlShare is which part of the connections callers leave to other listeners: one of so many.
@@ -43,7 +45,7 @@
 	ReasonMemory Reason = "no_memory"
 	// ReasonConnections means that as many connections are open as may be.
 	ReasonConnections Reason = "too_many_connections"
-	// ReasonStalled means that a connection was closed whose client stalled, since others needed its room.
+	// ReasonStalled means that a connection was closed whose client stalled, for too long or while others needed its room.
 	ReasonStalled Reason = "stalled"
 )
 
@@ -57,7 +59,10 @@
 		Budget *fpbudget.Budget
 		// MaxConnections bounds the open connections of all listeners.
 		MaxConnections int
-		Clock          fpclock.Clock
+		// StallTimeout is how long a client may keep a request or an answer unfinished without progress, or behind a
+		// minimum rate, while nobody else needs its room; 0 has no bound.
+		StallTimeout time.Duration
+		Clock        fpclock.Clock
 		// RefusalHeader is added to each refusal.
 		RefusalHeader http.Header
 		// OnRefuse, unless nil, is called for each client that is refused or whose connection is closed.
@@ -207,10 +212,22 @@
 func (g *Guard) evict(bytes int64, count int) {
 	now := g.settings.Clock()
 	g.mu.Lock()
-	if now < g.evictAt {
-		g.mu.Unlock()
+	early := now < g.evictAt
+	g.mu.Unlock()
+	if early {
 		return
 	}
+	n := g.closeConnections(func(clients []fpbudget.Client) []int { return fpbudget.Evict(clients, bytes, count, now) })
+	if n == 0 {
+		g.mu.Lock()
+		g.evictAt = now + evictionInterval
+		g.mu.Unlock()
+	}
+}
+
+// closeConnections closes the connections of the clients whose indexes are chosen, and returns their number.
+func (g *Guard) closeConnections(choose func([]fpbudget.Client) []int) int {
+	g.mu.Lock()
 	list := make([]*conn, 0, len(g.connections))
 	for c := range g.connections {
 		list = append(list, c)
@@ -220,16 +237,26 @@
 	for i, c := range list {
 		clients[i] = c.describe()
 	}
-	stalled := fpbudget.Evict(clients, bytes, count, now)
-	for _, i := range stalled {
+	chosen := choose(clients)
+	for _, i := range chosen {
 		list[i].evict()
 		g.refused(ReasonStalled, list[i])
 	}
-	if len(stalled) == 0 {
-		g.mu.Lock()
-		g.evictAt = now + evictionInterval
-		g.mu.Unlock()
+	return len(chosen)
+}
+
+// Run closes the connections of clients that stall for longer than the settings allow, until the context ends.
+func (g *Guard) Run(ctx context.Context) error {
+	if g.settings.StallTimeout <= 0 {
+		<-ctx.Done()
+		return nil
+	}
+	for fpclock.Sleep(ctx, g.settings.StallTimeout/stallChecks) {
+		g.closeConnections(func(clients []fpbudget.Client) []int {
+			return fpbudget.Stalled(clients, g.settings.StallTimeout, g.settings.Clock())
+		})
 	}
+	return nil
 }
 
 func (g *Guard) refused(r Reason, c net.Conn) {
--- a/pkg/fpbudget/budget_test.go
+++ b/pkg/fpbudget/budget_test.go
@@ -116,3 +116,18 @@
 		})
 	}
 }
+
+// TestStalled checks which clients have stalled for too long while nobody needs their room.
+func TestStalled(t *testing.T) {
+	now := time.Hour
+	clients := []Client{
+		{State: Sending, Since: now - 40*time.Second, Progress: now - 32*time.Second},
+		{State: Sending, Since: now - 40*time.Second, Progress: now, SentBytes: 16 << 20},
+		{State: Sending, Since: now - 40*time.Second, Progress: now, SentBytes: 100},
+		{State: Sending, Since: now - 20*time.Second, Progress: now - 20*time.Second},
+		{State: Receiving, Since: now - 33*time.Second},
+		{State: Receiving, Since: now - 20*time.Second},
+		{State: Busy}, {State: Idle}, {State: Silent},
+	}
+	is.New(t).Equal(Stalled(clients, 30*time.Second, now), []int{0, 2, 4})
+}
--- a/pkg/fpbudget/evict.go
+++ b/pkg/fpbudget/evict.go
@@ -84,6 +84,18 @@
 	}
 }
 
+// Stalled returns the indexes of the clients that have kept a request or an answer unfinished for longer than limit beyond
+// what their state allows.
+func Stalled(clients []Client, limit, now time.Duration) []int {
+	var out []int
+	for i, c := range clients {
+		if lag, ok := c.lag(now); ok && lag > limit && (c.State == Sending || c.State == Receiving) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // Evict returns the indexes of the clients whose connections to close for the given bytes and at least count
 // connections: those that keep this host waiting, the ones with the longest lag first.
 func Evict(clients []Client, bytes int64, count int, now time.Duration) []int {
