--- a/cmd/fescuepoint/caller.go
+++ b/cmd/fescuepoint/caller.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -12,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpchat"
+	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/pkg/fpoutcome"
 )
 
@@ -48,6 +50,11 @@
 	}
 )
 
+// newCallerClient returns a client that takes no bytes for an answer that are none in the protocol.
+func newCallerClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: fpconn.CheckingDialer((&net.Dialer{}).DialContext), MaxResponseHeaderBytes: fpconn.MaxHeaderBytes}}
+}
+
 // postRequest sends a POST request to the host with the team's key, class and request ID. An error
 // is marked errUnknown if the request may have been run.
 func (f callerFlags) postRequest(s *session, path string, body []byte, header http.Header) (*http.Response, error) {
@@ -62,7 +69,7 @@
 	if f.RequestID != "" {
 		req.Header.Set(fpchat.RequestHeader, f.RequestID)
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := newCallerClient().Do(req)
 	if err != nil {
 		return nil, errors.Mark(err, errUnknown)
 	}
--- a/internal/fpoperator/client.go
+++ b/internal/fpoperator/client.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/url"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/pkg/fpconfig"
 )
 
@@ -23,7 +25,8 @@
 
 // NewClient returns a client of the host at a base URL such as http://127.0.0.1:9000.
 func NewClient(baseURL, key string) *Client {
-	return &Client{baseURL: baseURL, key: key, httpClient: &http.Client{}}
+	t := &http.Transport{DialContext: fpconn.CheckingDialer((&net.Dialer{}).DialContext), MaxResponseHeaderBytes: fpconn.MaxHeaderBytes}
+	return &Client{baseURL: baseURL, key: key, httpClient: &http.Client{Transport: t}}
 }
 
 // Status returns the host's status.
