What requests hold leaves room for long answers, and these for the collector

Seen: the heap of TestServesBesideEndlessAnswers/body reached 98 MB once in eight runs (bound 100), 108 with other subtests before it; and where requests held more than 0.65 of the memory for traffic, long answers found no room, though replicas had worked for them.

A socket takes 128 KB before it is read: in a round trip of 60 ms, 64 KB would make a body of 4 MB take 4 s.

--- a/internal/fphost/serve.go
+++ b/internal/fphost/serve.go
@@ -23,7 +23,7 @@
 	bodyCopies = 3
 	// trafficMemoryShare is the share of the memory that connections, requests and answers may hold at one time,
 	// keptAnswersShare that of answers kept for repeats, and memoryLimitShare that of the garbage collector's soft limit.
-	trafficMemoryShare    = 0.4
+	trafficMemoryShare    = 0.45
 	keptAnswersShare      = 0.125
 	memoryLimitShare      = 0.7
 	minTrafficMemoryBytes = 16 << 20
--- a/internal/fpingress/guard.go
+++ b/internal/fpingress/guard.go
@@ -26,8 +26,9 @@
 	bytesPerLine = 256
 	// copiesOfHead is how often the text of a head is kept: as received, parsed and forwarded.
 	copiesOfHead = 3
-	// receiveBufferBytes bounds what a connection's socket holds of bytes that are not read yet.
-	receiveBufferBytes = 64 << 10
+	// receiveBufferBytes bounds what a connection's socket holds of bytes that are not read yet. It is also the most that
+	// arrives in a round trip.
+	receiveBufferBytes = 128 << 10
 	// evictionInterval is the least time from a search for stalled clients that found none to the next.
 	evictionInterval = 10 * time.Millisecond
 	// stallChecks is how often in a stall timeout the connections are looked through.
--- a/internal/fpsetting/settings.go
+++ b/internal/fpsetting/settings.go
@@ -97,7 +97,7 @@
 	Limits struct {
 		MaxBodyBytes   int           `doc:"largest request body" default:"16777216"`
 		MaxHeaderBytes int           `doc:"largest request header" default:"65536"`
-		MemoryBytes    int           `doc:"memory of the process; connections, requests and answers hold at most two fifths of it" default:"268435456"`
+		MemoryBytes    int           `doc:"memory of the process; connections, requests and answers hold at most 0.45 of it" default:"268435456"`
 		MaxConnections int           `doc:"open connections of all listeners, at most three quarters of the descriptors that the system allows" default:"2925"`
 		StallTimeout   time.Duration `doc:"time that a client may stall in sending a request or reading an answer" default:"30s"`
 		WriteTimeout   time.Duration `doc:"time that a caller may take to read a piece" default:"30s"`
--- a/pkg/fpbudget/budget.go
+++ b/pkg/fpbudget/budget.go
@@ -17,16 +17,17 @@
 	// smallBytes is what a reservation may hold to count as small.
 	smallBytes = 64 << 10
 	// lowShare is the share of the budget above which shares are taken back.
-	lowShare = 0.5
+	lowShare = 0.45
 )
 
 // shares holds for each class which share of the budget may be in use after a small reservation has grown, and after a
-// large one has.
-var shares = [...]struct{ small, large float64 }{
-	Request: {small: 0.75, large: 0.5},
-	Peer:    {small: 0.85, large: 0.5},
-	Answer:  {small: 0.9, large: 0.65},
-	Control: {small: 1, large: 1},
+// large one has, and which share the class itself may hold when a large one has grown. All that requests may hold leaves
+// room for long answers, which replicas have worked for.
+var shares = [...]struct{ small, large, own float64 }{
+	Request: {small: 0.6, large: 0.45, own: 1},
+	Peer:    {small: 0.65, large: 0.45, own: 1},
+	Answer:  {small: 0.92, large: 0.88, own: 0.45},
+	Control: {small: 1, large: 1, own: 1},
 }
 
 type (
@@ -39,6 +40,8 @@
 		limit int64
 		mu    sync.Mutex
 		used  int64
+		// usedBy holds the part of used that is each class's.
+		usedBy [len(shares)]int64
 	}
 
 	// Reservation is the part of a budget that one user holds. A nil reservation has no limit. It is safe for concurrent
@@ -83,18 +86,24 @@
 	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	share := shares[r.class].large
-	if r.held+n <= smallBytes {
-		share = shares[r.class].small
-	}
-	if r.revoked || b.used+n > int64(share*float64(b.limit)) {
+	if r.revoked || !b.allows(r.class, n, r.held+n <= smallBytes) {
 		return false
 	}
 	b.used += n
+	b.usedBy[r.class] += n
 	r.held += n
 	return true
 }
 
+// allows reports whether a reservation of a class may take n more bytes. The mutex must be held.
+func (b *Budget) allows(c Class, n int64, small bool) bool {
+	limit := func(share float64) int64 { return int64(share * float64(b.limit)) }
+	if small {
+		return b.used+n <= limit(shares[c].small)
+	}
+	return b.used+n <= limit(shares[c].large) && b.usedBy[c]+n <= limit(shares[c].own)
+}
+
 // Held returns the bytes that the reservation holds.
 func (r *Reservation) Held() int64 {
 	r.budget.mu.Lock()
@@ -113,6 +122,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.used -= r.held
+	b.usedBy[r.class] -= r.held
 	r.held = 0
 	r.revoked = r.revoked || revoke
 }
