--- a/cmd/fescuesoak/main.go
+++ b/cmd/fescuesoak/main.go
@@ -23,6 +23,7 @@
 	Beside  int           `help:"Seeds that run at the same time." default:"1"`
 	Hosts   int           `help:"Hosts, each a process of its own." default:"3"`
 	Callers int           `help:"Callers." default:"8"`
+	Crowd   int           `help:"Clients in each of the crowds that don't behave; 0 for none."`
 	Faults  time.Duration `help:"How long faults are injected." default:"8s"`
 }
 
@@ -73,13 +74,16 @@
 		return false
 	}
 	r, err := fpsoak.Run(context.Background(), fpsoak.Options{
-		Seed: seed, DaemonPath: a.Daemon, FormerDaemonPath: a.Former, Folder: folder, Hosts: a.Hosts, Callers: a.Callers, FaultDuration: a.Faults,
+		Seed: seed, DaemonPath: a.Daemon, FormerDaemonPath: a.Former, Folder: folder, Hosts: a.Hosts, Callers: a.Callers, FaultDuration: a.Faults, CrowdClients: a.Crowd,
 	})
 	if err != nil {
 		fmt.Printf("seed %d: %v\n", seed, err)
 		return false
 	}
 	fmt.Printf("seed %d: %d attempts, %d served, %d runs, %d guarantees violated\n", r.Seed, r.Attempts, r.Served, r.Runs, len(r.Violations))
+	for host, n := range r.PeakBytes {
+		fmt.Printf("seed %d: host %s took at most %d MB\n", r.Seed, host, n>>20)
+	}
 	for _, b := range r.Violations {
 		fmt.Printf("seed %d: %s\n", seed, b)
 	}
