A refusal arrives although the client still sends its request

Seen: the full tests of the gateway, TestAnswerResetDuringRequest: a client of net/http that was refused for want of memory got a connection reset in place of its 503. (The test's host was too small for its body; it has 200 MB now.)

Cause: a connection with unread bytes that is closed is reset, which a client that writes sees first. net/http reads on only for short bodies, and waits a moment for long ones, but not for requests that close the connection.

Change: once its answer has begun, what is left of a request is read and dropped: for at most 2 s and 16 MB, until its end. A connection in that state is the first to give way. The rest of a request that was refused for memory can be read for this, and is not kept.

Why it works: a client that has sent all of its request reads its answer before the connection closes.

--- a/internal/fpgateway/malformed_test.go
+++ b/internal/fpgateway/malformed_test.go
@@ -59,6 +59,7 @@
 func TestAnswerResetDuringRequest(t *testing.T) {
 	is := is.New(t)
 	tc := prepareTestCluster(t)
+	tc.hostSettings.MemoryBytes = 200 << 20
 	document := configDocument(1)
 	document["limits"].(map[string]any)["max_body_bytes"] = 8 << 20
 	tc.store.Put("op/config", document)
--- a/internal/fpingress/conn.go
+++ b/internal/fpingress/conn.go
@@ -23,10 +23,11 @@
 	defaultBodyBytes   = 16 << 20
 	// copiesOfChunks is how many copies of a body of unknown length exist while it grows.
 	copiesOfChunks = 2
-	// lingerTime and lingerBytes bound what is read and dropped after a refusal, so that the client gets it before
-	// its connection is reset.
-	lingerTime  = 500 * time.Millisecond
-	lingerBytes = 256 << 10
+	// lingerTime bounds for how long what a client still sends is read and dropped after a refusal, so that the client
+	// gets it before its connection is reset, and lingerBytes how much of it.
+	lingerTime       = 2 * time.Second
+	lingerBytes      = 16 << 20
+	lingerPieceBytes = 4 << 10
 	// refusalWriteTimeout bounds the write of a refusal.
 	refusalWriteTimeout = time.Second
 	// retryAfterSeconds is the Retry-After of a refusal for want of memory.
@@ -43,6 +44,8 @@
 		memory, answer *fpbudget.Reservation
 		// refused is why the request is refused, "" if it is not.
 		refused Reason
+		// answered says that the answer has begun: the rest of the request is dropped.
+		answered bool
 	}
 
 	// conn is a client's connection.
@@ -66,6 +69,7 @@
 		handled *message
 		used    bool
 		closed  bool
+		// closing says that nothing more is sent to the client, whose last message is still being dropped.
 		closing bool
 		// dropping says that what the client sends ahead is read and dropped, and that the connection ends after the
 		// answers that it waits for.
@@ -186,7 +190,7 @@
 // refusedNow returns why the message that is being received is refused. One whose head is complete is refused by its
 // handler, unless its body has exceeded the memory since. The mutex must be held.
 func (c *conn) refusedNow() Reason {
-	if c.next == nil {
+	if c.next == nil || c.next.answered {
 		return ""
 	}
 	return c.next.refused
@@ -349,18 +353,67 @@
 	if _, err := c.Conn.Write(text.Bytes()); err != nil {
 		return io.EOF
 	}
+	// The error is ignored: the connection ends anyway.
 	_ = c.CloseWrite()
-	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
 	return io.EOF
 }
 
-// CloseWrite ends what is sent to the client.
+// CloseWrite ends what is sent to the client, and drops what the client still sends of its request. The server calls it
+// before it closes some of the connections whose request it has not read.
 func (c *conn) CloseWrite() error {
-	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return errors.Wrap(w.CloseWrite(), "close write")
+	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	err := errors.Wrap(w.CloseWrite(), "close write")
+	c.mu.Lock()
+	c.closing, c.since = true, c.guard.settings.Clock()
+	complete := c.next == nil
+	c.mu.Unlock()
+	if !complete {
+		c.dropRest()
+	}
+	return err
+}
+
+// dropRest reads and drops what the client sends, until its message ends or a bound is reached.
+func (c *conn) dropRest() {
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	piece := make([]byte, lingerPieceBytes)
+	for total := 0; total < lingerBytes; {
+		n, err := c.Conn.Read(piece)
+		if err != nil {
+			return
+		}
+		total += n
+		if c.endsWith(piece[:n]) {
+			return
+		}
+	}
+}
+
+// endsWith reports whether the message that is being received ends in p.
+func (c *conn) endsWith(p []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(p) > 0 {
+		// A scanner of requests returns no error.
+		n, _, _ := c.scanner.Scan(p)
+		p = p[n:]
+		if c.scanner.Between() {
+			return true
+		}
+	}
+	return false
+}
+
+// beginAnswer says that the answer to the message that is being handled has begun.
+func (c *conn) beginAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.handled != nil {
+		c.handled.answered = true
 	}
-	return nil
 }
 
 // Write writes to the client.
@@ -391,7 +444,9 @@
 		d.State = fpbudget.Busy
 	case c.writingSince != 0:
 		d.State, d.Since = fpbudget.Receiving, c.writingSince
-	case c.closing, c.next != nil && len(c.received) == 0 && (c.handled == nil || c.handled == c.next):
+	case c.closing:
+		d.State = fpbudget.Closing
+	case c.next != nil && len(c.received) == 0 && (c.handled == nil || c.handled == c.next):
 		d.State, d.SentBytes = fpbudget.Sending, c.scanner.BodyBytes()
 	case c.handled != nil || len(c.received) > 0:
 		d.State = fpbudget.Busy
@@ -414,11 +469,31 @@
 		// Its own Close waits until the client has read an alert.
 		_ = t.NetConn().Close()
 	}
-	_ = c.Close()
+	_ = c.close()
 }
 
-// Close closes the connection. What its handler holds is free when it ends.
+// Close closes the connection. A client that has its answer and still sends its request is read for a moment before, in
+// the background: a reset could keep the answer from it.
 func (c *conn) Close() error {
+	c.mu.Lock()
+	lingers := !c.closed && !c.closing && c.handled == nil && c.next != nil && c.next.answered
+	if lingers {
+		c.closing = true
+	}
+	c.mu.Unlock()
+	if !lingers {
+		return c.close()
+	}
+	go func() {
+		// The error is ignored: the connection ends anyway.
+		_ = c.CloseWrite()
+		_ = c.close()
+	}()
+	return nil
+}
+
+// close closes the connection at once. What its handler holds is free when it ends.
+func (c *conn) close() error {
 	c.mu.Lock()
 	if !c.closed {
 		c.closed = true
--- a/internal/fpingress/handler.go
+++ b/internal/fpingress/handler.go
@@ -41,6 +41,8 @@
 	// responseWriter answers a request without waiting for the rest of its body.
 	responseWriter struct {
 		http.ResponseWriter
+		// conn is nil if the listener is not guarded.
+		conn    *conn
 		request *http.Request
 		body    *body
 		begun   bool
@@ -60,11 +62,13 @@
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		answer := &responseWriter{ResponseWriter: w, request: r, body: &body{ReadCloser: r.Body}}
+		// The server looks at its own body afterwards.
+		defer func(own io.ReadCloser) { r.Body = own }(r.Body)
 		r.Body = answer.body
 		if v, ok := r.Context().Value(contextKey{}).(*requestContext); ok {
 			message, reason := v.conn.beginHandling()
 			defer v.conn.endHandling()
-			v.message = message
+			v.message, answer.conn = message, v.conn
 			if reason != "" {
 				v.conn.guard.refused(reason, v.conn)
 				status, header := reason.response(v.conn.guard.settings.RefusalHeader)
@@ -123,6 +127,9 @@
 		return
 	}
 	w.begun = true
+	if w.conn != nil {
+		w.conn.beginAnswer()
+	}
 	if w.body.ended || w.request.ContentLength == 0 {
 		return
 	}
--- a/internal/fpingress/ingress_test.go
+++ b/internal/fpingress/ingress_test.go
@@ -318,6 +318,56 @@
 	}
 }
 
+// TestRefusalArrivesAfterUpload checks that a client that sends a long request whole before it reads gets its refusal.
+func TestRefusalArrivesAfterUpload(t *testing.T) {
+	body := strings.Repeat("x", testBodyBytes)
+	tests := map[string]struct {
+		text   string
+		status int
+	}{
+		"no room":                {post("/read", testBodyBytes) + body, 503},
+		"no room, in chunks":     {"POST /read HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", testBodyBytes, body), 503},
+		"not found":              {post("/none", testBodyBytes) + body, 404},
+		"not found, in chunks":   {"POST /none HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", testBodyBytes, body), 404},
+		"too long":               {post("/read", 2*testBodyBytes) + body + body, 413},
+		"header over the limit":  {post("/read", testBodyBytes, fields(testHeaderBytes)) + body, 431},
+		"no room for many lines": {"POST /read HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n" + fields(testHeaderBytes-40) + "\r\n" + body[:100000], 503},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := startTestServer(t, 3400<<10, 0)
+			if tt.status == http.StatusServiceUnavailable {
+				// Uploads that go on take the room for long requests.
+				for range 2 {
+					_, _ = s.dial(post("/read", testBodyBytes-20<<10))
+				}
+				s.await("two requests", func() bool { return s.handled.Load() == 2 })
+			}
+			for range 10 {
+				_, r := s.dial(tt.text)
+				res, _ := answer(t, r)
+				is.Equal(res.StatusCode, tt.status)
+			}
+		})
+	}
+}
+
+// TestRefusalReachesUsualClient checks that a client of net/http, which gives up when it can't write, gets its refusal
+// although the server reads nothing of its long body.
+func TestRefusalReachesUsualClient(t *testing.T) {
+	is := is.New(t)
+	s := startTestServer(t, 16<<20, 0)
+	body := strings.Repeat("x", 8<<20)
+	for range 20 {
+		c := http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+		res, err := c.Post("http://"+s.address+"/read", "text/plain", strings.NewReader(body))
+		is.NoErr(err)
+		is.Equal(res.StatusCode, http.StatusRequestEntityTooLarge)
+		is.NoErr(res.Body.Close())
+	}
+}
+
 // TestRequestsSentAhead checks that requests that are sent before the answers to earlier ones are answered in order, and
 // that what is sent on without end neither stays in memory nor cuts the answers off.
 func TestRequestsSentAhead(t *testing.T) {
--- a/pkg/fpbudget/evict.go
+++ b/pkg/fpbudget/evict.go
@@ -13,6 +13,8 @@
 	Sending
 	// Receiving is the state of a client that does not read its answer.
 	Receiving
+	// Closing is the state of a client that has its last answer and still sends.
+	Closing
 	// Silent is the state of a client that has sent nothing yet.
 	Silent
 	// Idle is the state of a client between two requests.
@@ -26,6 +28,7 @@
 	minSendRate = 256 << 10
 	// receiveGrace is how long a client may leave an answer unread.
 	receiveGrace = 2 * time.Second
+	closingGrace = 100 * time.Millisecond
 	silentGrace  = 500 * time.Millisecond
 	idleGrace    = 2 * time.Second
 )
@@ -61,6 +64,8 @@
 		lag = max(now-due, now-c.Progress-sendGrace)
 	case Receiving:
 		lag = now - c.Since - receiveGrace
+	case Closing:
+		lag = now - c.Since - closingGrace
 	case Silent:
 		lag = now - c.Since - silentGrace
 	case Idle:
@@ -71,16 +76,18 @@
 	return lag, lag > 0
 }
 
-// rank returns the order in which clients lose their shares: those that stall first, those that keep a connection for
-// later last.
+// rank returns the order in which clients lose their shares: those that have had their answer first, then those that
+// stall, and those that keep a connection for later last.
 func (s State) rank() int {
 	switch s {
-	case Sending, Receiving:
+	case Closing:
 		return 0
-	case Silent:
+	case Sending, Receiving:
 		return 1
-	default:
+	case Silent:
 		return 2
+	default:
+		return 3
 	}
 }
 
