--- a/cmd/fescuepointd/crowd_test.go
+++ b/cmd/fescuepointd/crowd_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -309,12 +310,24 @@
 		t.Cleanup(r.Close)
 		store.Put("servers/"+id, r.Registration("ready"))
 	}
+	long := fpfake.NewReplica("l1", "long", "z1", "")
+	t.Cleanup(long.Close)
+	entry := long.Registration("ready")
+	entry["address"] = serveLongAnswers(t)
+	store.Put("servers/l1", entry)
 	store.Put("op/config", map[string]any{
 		"version": 1,
-		"routes": []any{map[string]any{
-			"name": "read", "host": "a.example", "prefix": "/read/", "kind": "idempotent", "timeout_ms": 20000, "target_latency_ms": 300, "priority": 1, "service": "app", "max_attempts": 2,
-		}},
-		"services": []any{map[string]any{"name": "app", "health_path": "/healthz", "max_conns": 100}},
+		"routes": []any{
+			map[string]any{
+				"name": "read", "host": "a.example", "prefix": "/read/", "kind": "idempotent", "timeout_ms": 20000, "target_latency_ms": 300, "priority": 1, "service": "app", "max_attempts": 2,
+			},
+			map[string]any{
+				"name": "long", "host": "a.example", "prefix": "/long/", "kind": "idempotent", "timeout_ms": 20000, "target_latency_ms": 300, "priority": 1, "service": "long", "max_attempts": 2,
+			},
+		},
+		"services": []any{
+			map[string]any{"name": "app", "health_path": "/healthz", "max_conns": 100}, map[string]any{"name": "long", "health_path": "/healthz", "max_conns": 400},
+		},
 		"limits":   map[string]any{"max_header_bytes": crowdHeaderBytes, "max_body_bytes": crowdBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []any{map[string]any{"name": "team", "api_keys": []string{"key"}, "priority": 1}},
 	})
@@ -349,6 +362,23 @@
 	return g
 }
 
+// serveLongAnswers serves answers of the longest body that a host passes on whole, and returns the address.
+func serveLongAnswers(t *testing.T) string {
+	t.Helper()
+	body := make([]byte, crowdBodyBytes)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.Header().Set("Replica-Signature", "long")
+		// The host may close the connection.
+		_, _ = w.Write(body)
+	}))
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.Listener.Addr().String()
+}
+
 // awaitServed waits until a host serves an ordinary request.
 func awaitServed(t *testing.T, h *crowdHost) {
 	t.Helper()
@@ -388,6 +418,12 @@
 	return res.StatusCode, err
 }
 
+// TestCrowdReaders checks that a host bears clients that don't read the long answers to their requests.
+func TestCrowdReaders(t *testing.T) {
+	g := startCrowdGateway(t, filepath.Join(buildPrograms(t), "fescuepointd"))
+	g.bear(g.addresses["callers"], crowd{300, writeText("GET /long/x HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token key\r\nAttempt-Id: crowd\r\n\r\n")})
+}
+
 // TestCrowdGateway checks that a host on the platform bears crowds of clients that don't behave, within its memory and descriptors, and
 // that it serves an ordinary request beside them.
 func TestCrowdGateway(t *testing.T) {
--- a/internal/fpgateway/serve.go
+++ b/internal/fpgateway/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/internal/fpingress"
+	"github.com/fescuepoint/fescuepoint/internal/fplog"
 	"github.com/fescuepoint/fescuepoint/pkg/fpcatalog"
 )
 
@@ -58,6 +59,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          fplog.NewStandard(func(text string) { g.log("http server error", "Error", text) }),
 		// The handler gets each request that the guard counts.
 		DisableGeneralOptionsHandler: true,
 	}}
--- a/internal/fphost/serve.go
+++ b/internal/fphost/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/fescuepoint/fescuepoint/internal/fpconn"
 	"github.com/fescuepoint/fescuepoint/internal/fpingress"
+	"github.com/fescuepoint/fescuepoint/internal/fplog"
 	"github.com/fescuepoint/fescuepoint/internal/fpsetting"
 )
 
@@ -54,6 +55,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    l.MaxHeaderBytes,
+		ErrorLog:          fplog.NewStandard(func(text string) { _ = h.logger.Log("Message", "http server error", "Error", text) }),
 		// The handler gets each request that the guard counts.
 		DisableGeneralOptionsHandler: true,
 	}}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -55,3 +55,6 @@
 
 echo "== soak, three seeds"
 bin/fescuesoak --first 1 --seeds 3 --beside 3 --faults 4s
+
+echo "== soak beside crowds of clients, two seeds"
+bin/fescuesoak --first 1 --seeds 2 --beside 2 --crowd 60 --faults 4s
