A client that reads its answer slowly, or sends slowly, does not stall

Seen: by reading. An answer was written in one call, so that a client on a slow line that takes more than 32 s for a long one counted as one that does not read; and 256 KB a second were asked of bodies also while nobody needs the room.

Change: answers are written 32 KB at a time, each of which is progress; without need for room, bodies may come at 16 KB a second.

--- a/internal/fpingress/conn.go
+++ b/internal/fpingress/conn.go
@@ -28,6 +28,8 @@
 	lingerTime       = 2 * time.Second
 	lingerBytes      = 16 << 20
 	lingerPieceBytes = 4 << 10
+	// writePieceBytes is what a client must read of an answer to make progress.
+	writePieceBytes = 32 << 10
 	// refusalWriteTimeout bounds the write of a refusal.
 	refusalWriteTimeout = time.Second
 	// retryAfterSeconds is the Retry-After of a refusal for want of memory.
@@ -416,11 +418,17 @@
 	}
 }
 
-// Write writes to the client.
+// Write writes to the client, a piece at a time: one that reads slowly does not stall.
 func (c *conn) Write(p []byte) (int, error) {
-	c.setWriting(c.guard.settings.Clock())
 	defer c.setWriting(0)
-	return c.Conn.Write(p)
+	for written := 0; ; {
+		c.setWriting(c.guard.settings.Clock())
+		n, err := c.Conn.Write(p[written:min(len(p), written+writePieceBytes)])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
 }
 
 func (c *conn) setWriting(since time.Duration) {
--- a/pkg/fpbudget/evict.go
+++ b/pkg/fpbudget/evict.go
@@ -23,9 +23,10 @@
 
 const (
 	// sendGrace is how long a client may take to send a request, or pause within it, and minSendRate the bytes a
-	// second at which longer ones may take longer.
-	sendGrace   = time.Second
-	minSendRate = 256 << 10
+	// second at which longer ones may take longer. slowSendRate applies while nobody needs the room.
+	sendGrace    = time.Second
+	minSendRate  = 256 << 10
+	slowSendRate = 16 << 10
 	// receiveGrace is how long a client may leave an answer unread.
 	receiveGrace = 2 * time.Second
 	closingGrace = 100 * time.Millisecond
@@ -55,12 +56,13 @@
 	}
 )
 
-// lag returns for how long a client has exceeded what its state allows, and whether it has.
-func (c Client) lag(now time.Duration) (time.Duration, bool) {
+// lag returns for how long a client has exceeded what its state allows, with bodies at the given bytes a second, and
+// whether it has.
+func (c Client) lag(now time.Duration, rate float64) (time.Duration, bool) {
 	var lag time.Duration
 	switch c.State {
 	case Sending:
-		due := c.Since + sendGrace + time.Duration(float64(c.SentBytes)/minSendRate*float64(time.Second))
+		due := c.Since + sendGrace + time.Duration(float64(c.SentBytes)/rate*float64(time.Second))
 		lag = max(now-due, now-c.Progress-sendGrace)
 	case Receiving:
 		lag = now - c.Since - receiveGrace
@@ -96,7 +98,7 @@
 func Stalled(clients []Client, limit, now time.Duration) []int {
 	var out []int
 	for i, c := range clients {
-		if lag, ok := c.lag(now); ok && lag > limit && (c.State == Sending || c.State == Receiving) {
+		if lag, ok := c.lag(now, slowSendRate); ok && lag > limit && (c.State == Sending || c.State == Receiving) {
 			out = append(out, i)
 		}
 	}
@@ -108,7 +110,7 @@
 func Evict(clients []Client, bytes int64, count int, now time.Duration) []int {
 	var candidates []candidate
 	for i, c := range clients {
-		if lag, ok := c.lag(now); ok {
+		if lag, ok := c.lag(now, minSendRate); ok {
 			candidates = append(candidates, candidate{i, lag})
 		}
 	}
