A host listens for callers before it says that it is ready

Cause: each server listened in a goroutine of its own, so that the answer to the ready check could come before the callers' port was open; a load balancer would have sent callers there.

Change: all listeners are opened, the callers' first, before any is served. What can't listen is told and handled as before.

Why it works: no ready check can be answered before Run has opened the callers' port.

--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -207,6 +207,7 @@
 		servers = append(servers, metrics)
 	}
 	for _, s := range servers {
+		s.listen()
 		r.Add(s.serve, func(error) { s.close() })
 	}
 	r.Add(func() error { return g.awaitShutdown(ctx, inner, clients) }, func(error) { close(g.stopped) })
--- a/internal/fpgateway/serve.go
+++ b/internal/fpgateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -46,6 +47,9 @@
 		gateway *Gateway
 		http    *http.Server
 		rules   fpingress.Rules
+		// listener is what listen opened, listenErr why it could not.
+		listener  net.Listener
+		listenErr error
 		// optional says that the host runs on when the server can't listen.
 		optional bool
 	}
@@ -105,18 +109,20 @@
 	g.log("client refused", "RequestID", caller.ID, "Client", r.Client, "Reason", string(r.Reason), "MemoryUsed", g.memory.Used(), "MemoryLimit", g.memory.Limit())
 }
 
-// serve listens and serves. After a planned stop it waits for the run group to end.
+// listen listens, before any server answers that the host is ready.
+func (s *server) listen() { s.listener, s.listenErr = fpingress.Listen(s.http.Addr) }
+
+// serve serves. After a planned stop it waits for the run group to end.
 func (s *server) serve() error {
-	l, err := fpingress.Listen(s.http.Addr)
-	if err != nil {
-		s.gateway.log("cannot listen", "Address", s.http.Addr, "Error", err.Error())
+	if s.listenErr != nil {
+		s.gateway.log("cannot listen", "Address", s.http.Addr, "Error", s.listenErr.Error())
 		if s.optional {
 			<-s.gateway.stopped
 			return nil
 		}
-		return errors.Wrap(err, "listen")
+		return errors.Wrap(s.listenErr, "listen")
 	}
-	err = s.http.Serve(s.gateway.guard.Guard(l, s.rules))
+	err := s.http.Serve(s.gateway.guard.Guard(s.listener, s.rules))
 	if errors.Is(err, http.ErrServerClosed) {
 		<-s.gateway.stopped
 		return nil
