The command line reads answers behind TLS again; clients of net/http share one transport

Change: fpconn.NewTransport checks above TLS, and all clients of net/http use it: stores, feed, services, other hosts, operators, callers.

--- a/cmd/fescuepoint/caller.go
+++ b/cmd/fescuepoint/caller.go
@@ -50,11 +50,6 @@
 	}
 )
 
-// newCallerClient returns a client that takes no bytes for an answer that are none in the protocol.
-func newCallerClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: fpconn.CheckingDialer((&net.Dialer{}).DialContext), MaxResponseHeaderBytes: fpconn.MaxHeaderBytes}}
-}
-
 // postRequest sends a POST request to the host with the team's key, class and request ID. An error
 // is marked errUnknown if the request may have been run.
 func (f callerFlags) postRequest(s *session, path string, body []byte, header http.Header) (*http.Response, error) {
@@ -69,7 +64,9 @@
 	if f.RequestID != "" {
 		req.Header.Set(fpchat.RequestHeader, f.RequestID)
 	}
-	res, err := newCallerClient().Do(req)
+	t := fpconn.NewTransport((&net.Dialer{}).DialContext, nil)
+	t.Proxy = http.ProxyFromEnvironment
+	res, err := (&http.Client{Transport: t}).Do(req)
 	if err != nil {
 		return nil, errors.Mark(err, errUnknown)
 	}
--- a/internal/fpconn/checked.go
+++ b/internal/fpconn/checked.go
@@ -1,7 +1,6 @@
 package fpconn
 
 import (
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -41,26 +40,12 @@
 	}
 )
 
-// CheckAnswers returns a connection that checks the answers which are read from c.
-func CheckAnswers(c net.Conn) net.Conn { return newCheckedConn(c) }
-
 func newCheckedConn(c net.Conn) *checkedConn {
 	k := &checkedConn{Conn: c, answers: fpframe.NewAnswerScanner()}
 	k.changed.L = &k.mu
 	return k
 }
 
-// CheckingDialer returns a dialer whose connections check the answers which are read from them.
-func CheckingDialer(d DialFunc) DialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := d(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return CheckAnswers(c), nil
-	}
-}
-
 // Write writes p and follows the request in it.
 func (c *checkedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
--- a/internal/fpconn/checked_test.go
+++ b/internal/fpconn/checked_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +18,7 @@
 
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/internal/fpconn/fpconntest"
+	"github.com/fescuepoint/fescuepoint/pkg/fpframe"
 )
 
 const longBodyBytes = 16 << 20
@@ -33,6 +37,34 @@
 	}
 }
 
+// TestTransportWithTLS checks that a transport reads answers, and checks them, behind TLS.
+func TestTransportWithTLS(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/odd" {
+			c, _, err := http.NewResponseController(w).Hijack()
+			is.NoErr(err)
+			_, _ = io.WriteString(c, "HTTP/1.1 999 None\r\nContent-Length: 0\r\n\r\n")
+			_ = c.Close()
+			return
+		}
+		_, _ = io.WriteString(w, "all")
+	}))
+	defer s.Close()
+	pool := x509.NewCertPool()
+	pool.AddCert(s.Certificate())
+	c := http.Client{Transport: NewTransport((&net.Dialer{}).DialContext, &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12})}
+	defer c.CloseIdleConnections()
+	res, err := c.Get(s.URL)
+	is.NoErr(err)
+	text, err := io.ReadAll(res.Body)
+	is.NoErr(err)
+	is.NoErr(res.Body.Close())
+	is.Equal(string(text), "all")
+	_, err = c.Get(s.URL + "/odd")
+	is.True(errors.Is(err, fpframe.ErrMalformed))
+}
+
 // TestAnswerResetDuringRequest checks that an answer without a length that a reset cuts, while the request is still being
 // written, is not taken for a whole one, and that it is told apart from one that ends regularly.
 func TestAnswerResetDuringRequest(t *testing.T) {
--- a/internal/fpfeed/service.go
+++ b/internal/fpfeed/service.go
@@ -71,9 +71,8 @@
 
 // NewClient returns a client with its own connection pool.
 func NewClient(clock fpclock.Clock) *Client {
-	t := &http.Transport{
-		DialContext: fpconn.CheckingDialer((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: fpconn.MaxHeaderBytes,
-	}
+	t := fpconn.NewTransport((&net.Dialer{}).DialContext, nil)
+	t.MaxIdleConnsPerHost, t.IdleConnTimeout, t.DisableCompression = 1, idleTimeout, true
 	return &Client{httpClient: &http.Client{Transport: t}, clock: clock}
 }
 
--- a/internal/fphost/serve.go
+++ b/internal/fphost/serve.go
@@ -90,21 +90,27 @@
 
 // peerTransport returns the transport and the URL scheme for calls to other hosts.
 func peerTransport(p fpsetting.Peers) (http.RoundTripper, string, error) {
-	t := &http.Transport{
-		DialContext: fpconn.CheckingDialer((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: fpconn.MaxHeaderBytes,
+	scheme, config, err := peerTLS(p)
+	if err != nil {
+		return nil, "", err
 	}
+	t := fpconn.NewTransport((&net.Dialer{}).DialContext, config)
+	t.MaxIdleConnsPerHost, t.IdleConnTimeout = 4, idleTimeout
+	return t, scheme, nil
+}
+
+// peerTLS returns the URL scheme for calls to other hosts, and the TLS configuration if they use TLS.
+func peerTLS(p fpsetting.Peers) (string, *tls.Config, error) {
 	if p.CertificateFile == "" {
-		return t, "http", nil
+		return "http", nil, nil
 	}
 	pem, err := os.ReadFile(p.AuthorityFile)
 	if err != nil {
-		return nil, "", errors.Wrap(err, "Peers.AuthorityFile")
+		return "", nil, errors.Wrap(err, "Peers.AuthorityFile")
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(pem) {
-		return nil, "", errors.New("Peers.AuthorityFile holds no certificate")
+		return "", nil, errors.New("Peers.AuthorityFile holds no certificate")
 	}
-	d := tls.Dialer{Config: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}
-	t.DialTLSContext = fpconn.CheckingDialer(d.DialContext)
-	return t, "https", nil
+	return "https", &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}, nil
 }
--- a/internal/fpoperator/client.go
+++ b/internal/fpoperator/client.go
@@ -25,7 +25,8 @@
 
 // NewClient returns a client of the host at a base URL such as http://127.0.0.1:9000.
 func NewClient(baseURL, key string) *Client {
-	t := &http.Transport{DialContext: fpconn.CheckingDialer((&net.Dialer{}).DialContext), MaxResponseHeaderBytes: fpconn.MaxHeaderBytes}
+	t := fpconn.NewTransport((&net.Dialer{}).DialContext, nil)
+	t.Proxy = http.ProxyFromEnvironment
 	return &Client{baseURL: baseURL, key: key, httpClient: &http.Client{Transport: t}}
 }
 
--- a/internal/fpplatform/client.go
+++ b/internal/fpplatform/client.go
@@ -39,7 +39,8 @@
 // A connection carries one call at a time and is closed after a failure, so that
 // an unresponsive connection costs only one timeout.
 func NewClient(address string) *Client {
-	t := &http.Transport{DialContext: fpconn.CheckingDialer((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: fpconn.MaxHeaderBytes}
+	t := fpconn.NewTransport((&net.Dialer{}).DialContext, nil)
+	t.MaxIdleConnsPerHost, t.IdleConnTimeout, t.DisableCompression = 16, 30*time.Second, true
 	return &Client{baseURL: "http://" + address, httpClient: &http.Client{Transport: t}}
 }
 
--- a/internal/fpupstream/client.go
+++ b/internal/fpupstream/client.go
@@ -79,17 +79,9 @@
 		s.Dialer = (&net.Dialer{}).DialContext
 	}
 	c := &Client{silenceTimeout: s.SilenceTimeout, dialFunc: s.Dialer}
-	c.pooled = &http.Client{
-		Transport: &http.Transport{
-			DialContext:         c.dial,
-			MaxIdleConnsPerHost: 64,
-			IdleConnTimeout:     20 * time.Second,
-			DisableCompression:  true,
-
-			MaxResponseHeaderBytes: fpconn.MaxHeaderBytes,
-		},
-		CheckRedirect: noRedirect,
-	}
+	t := fpconn.NewTransport(c.dial, nil)
+	t.MaxIdleConnsPerHost, t.IdleConnTimeout, t.DisableCompression = 64, 20*time.Second, true
+	c.pooled = &http.Client{Transport: t, CheckRedirect: noRedirect}
 	return c
 }
 
@@ -103,18 +95,13 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Mark(errors.Wrap(err, "connect"), ErrNoConnection), ErrNotRun)
 	}
-	return fpconn.CheckAnswers(conn), nil
+	return conn, nil
 }
 
 // singleUseClient returns an HTTP client that sends one request over conn.
 func singleUseClient(conn net.Conn) *http.Client {
-	t := &http.Transport{
-		DialContext:        func(context.Context, string, string) (net.Conn, error) { return conn, nil },
-		DisableKeepAlives:  true,
-		DisableCompression: true,
-
-		MaxResponseHeaderBytes: fpconn.MaxHeaderBytes,
-	}
+	t := fpconn.NewTransport(func(context.Context, string, string) (net.Conn, error) { return conn, nil }, nil)
+	t.DisableKeepAlives, t.DisableCompression = true, true
 	return &http.Client{Transport: t, CheckRedirect: noRedirect}
 }
 
