One Retry-After for want of memory, one way to a limit or its default, one to the socket below TLS

Three constants said the same second; two places asked a listener's rule and took a default; three looked below TLS.

--- a/internal/fpcaller/server.go
+++ b/internal/fpcaller/server.go
@@ -29,8 +29,6 @@
 const (
 	maxRequestIDBytes = 128
 	bearerPrefix      = "Bearer "
-	// noMemoryRetryAfter is the Retry-After while the memory for requests is used up.
-	noMemoryRetryAfter = time.Second
 )
 
 type (
@@ -255,7 +253,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, fpingress.ErrNoMemory):
-		setRetryAfter(w, noMemoryRetryAfter)
+		setRetryAfter(w, fpingress.RetryAfter)
 		return nil, &requestError{http.StatusServiceUnavailable, "no_memory", "this host has no memory for the body now"}
 	case errors.As(err, &tooLarge):
 		return nil, &requestError{http.StatusRequestEntityTooLarge, "too_large", "the body is larger than " + strconv.Itoa(s.settings.MaxBodyBytes) + " bytes"}
--- a/internal/fpgateway/handler.go
+++ b/internal/fpgateway/handler.go
@@ -33,8 +33,6 @@
 	// staleConfigRetryAfter is the Retry-After while this host's configuration is missing,
 	// incomplete or too old.
 	staleConfigRetryAfter = 300 * time.Millisecond
-	// noMemoryRetryAfter is the Retry-After while the memory for requests is used up.
-	noMemoryRetryAfter = time.Second
 )
 
 type (
@@ -222,7 +220,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, fpingress.ErrNoMemory):
-		return &rejection{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: noMemoryRetryAfter}
+		return &rejection{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: fpingress.RetryAfter}
 	case errors.As(err, &tooLarge):
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}
 	case err != nil:
--- a/internal/fpingress/close.go
+++ b/internal/fpingress/close.go
@@ -21,8 +21,8 @@
 	lingerPieceBytes = 4 << 10
 	// refusalWriteTimeout bounds the write of a refusal.
 	refusalWriteTimeout = time.Second
-	// retryAfterSeconds is the Retry-After of a refusal for want of memory.
-	retryAfterSeconds = 1
+	// RetryAfter is the Retry-After of a refusal for want of memory.
+	RetryAfter = time.Second
 )
 
 // response returns the status and the header of a refusal, with the given fields.
@@ -32,7 +32,7 @@
 	if r == ReasonHead {
 		return http.StatusRequestHeaderFieldsTooLarge, h
 	}
-	h.Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+	h.Set("Retry-After", strconv.FormatInt(int64(RetryAfter/time.Second), 10))
 	return http.StatusServiceUnavailable, h
 }
 
@@ -137,10 +137,8 @@
 		m.revoke()
 	}
 	c.mu.Unlock()
-	if t, ok := c.Conn.(*tls.Conn); ok {
-		// Its own Close waits until the client has read an alert.
-		_ = t.NetConn().Close()
-	}
+	// Close of a connection with TLS waits until the client has read an alert, unless its socket is closed.
+	_ = c.socket().Close()
 	_ = c.close()
 }
 
--- a/internal/fpingress/conn.go
+++ b/internal/fpingress/conn.go
@@ -1,6 +1,7 @@
 package fpingress
 
 import (
+	"crypto/tls"
 	"io"
 	"net"
 	"sync"
@@ -55,6 +56,14 @@
 	return n
 }
 
+// socket returns the connection below TLS.
+func (c *conn) socket() net.Conn {
+	if t, ok := c.Conn.(*tls.Conn); ok {
+		return t.NetConn()
+	}
+	return c.Conn
+}
+
 func (c *conn) reserve() *fpbudget.Reservation {
 	if c.rules.Control {
 		return c.guard.settings.Budget.Reserve(fpbudget.Peer)
--- a/internal/fpingress/guard.go
+++ b/internal/fpingress/guard.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -163,7 +162,7 @@
 	}
 	reason := ReasonConnections
 	if !g.isFull(r, limit) {
-		if g.grow(n.connection, connectionSize(c)) {
+		if g.grow(n.connection, n.size()) {
 			g.mu.Lock()
 			defer g.mu.Unlock()
 			g.connections[n] = struct{}{}
@@ -178,8 +177,9 @@
 	return nil
 }
 
-func connectionSize(c net.Conn) int64 {
-	if _, ok := c.(*tls.Conn); ok {
+// size returns what the connection itself takes.
+func (c *conn) size() int64 {
+	if c.socket() != c.Conn {
 		return connectionBytes + secureBytes
 	}
 	return connectionBytes
--- a/internal/fpingress/message.go
+++ b/internal/fpingress/message.go
@@ -1,7 +1,7 @@
 package fpingress
 
 import (
-	"crypto/tls"
+	"cmp"
 	"io"
 	"syscall"
 
@@ -105,16 +105,10 @@
 
 // countHead counts the head of the message so far. The mutex must be held.
 func (c *conn) countHead() {
-	h := c.scanner.Head()
-	limit := defaultHeaderBytes
-	if c.rules.HeaderBytes != nil {
-		if n := c.rules.HeaderBytes(); n > 0 {
-			limit = n
-		}
-	}
+	h, limit := c.scanner.Head(), limitOf(c.rules.HeaderBytes, defaultHeaderBytes)
 	// The line that ends a head is not counted.
 	if h.FieldBytes > limit+len("\r\n") || h.StartBytes > limit {
-		c.refuseNext(ReasonHead)
+		c.next.refused = cmp.Or(c.next.refused, ReasonHead)
 		return
 	}
 	c.growNext(&c.headBytes, copiesOfHead*int64(h.StartBytes+h.FieldBytes)+bytesPerLine*int64(h.Lines))
@@ -139,10 +133,15 @@
 	}
 }
 
-func (c *conn) refuseNext(r Reason) {
-	if c.next.refused == "" {
-		c.next.refused = r
+// limitOf returns a limit of the rules, or the default where they have none.
+func limitOf[T int | int64](limit func() T, otherwise T) T {
+	if limit == nil {
+		return otherwise
+	}
+	if n := limit(); n > 0 {
+		return n
 	}
+	return otherwise
 }
 
 // countBody counts a body of unknown length as it arrives. The mutex must be held.
@@ -160,11 +159,7 @@
 		return
 	}
 	c.bufferBytes = longBufferBytes
-	socket := c.Conn
-	if t, ok := socket.(*tls.Conn); ok {
-		socket = t.NetConn()
-	}
-	s, ok := socket.(syscall.Conn)
+	s, ok := c.socket().(syscall.Conn)
 	if !ok {
 		return
 	}
@@ -177,14 +172,8 @@
 // endHead passes a message with a complete head on to its handler, with the memory for a body of known length. The mutex
 // must be held.
 func (c *conn) endHead() {
-	limit := int64(defaultBodyBytes)
-	if c.rules.BodyBytes != nil {
-		if n := c.rules.BodyBytes(); n > 0 {
-			limit = n
-		}
-	}
 	// A handler reads no more than the limit of a longer body, if it reads it at all.
-	if length := min(c.scanner.Head().Length, limit); length > 0 {
+	if length := min(c.scanner.Head().Length, limitOf(c.rules.BodyBytes, defaultBodyBytes)); length > 0 {
 		c.growNext(&c.bodyBytes, c.rules.BodyCopies*length)
 		c.enlargeBuffer(length)
 	}
