A server goes on after an accept that failed for want of descriptors

TestServerOutlivesWantOfDescriptors, new, failed: connection refused.

Cause: the guard's listener wrapped the error. net/http asserts the type of the error itself to tell temporary ones, and took the wrapped one for the end of the listener, with which the run group and so the process ends.

Change: the error is passed on as it is.

Result: the test passes. On the platform and at the own interface the connections that are accepted are bounded below the descriptors, so that it takes many connections of the host's own to get there.

--- a/internal/fpingress/guard.go
+++ b/internal/fpingress/guard.go
@@ -8,7 +8,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
@@ -141,7 +140,8 @@
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
-			return nil, errors.Wrap(err, "accept")
+			// The server looks at the error's own type: it goes on after temporary ones.
+			return nil, err
 		}
 		if admitted := l.guard.admit(c, l.rules); admitted != nil {
 			return admitted, nil
--- a/internal/fpingress/ingress_test.go
+++ b/internal/fpingress/ingress_test.go
@@ -5,13 +5,16 @@
 	"context"
 	"fmt"
 	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -277,6 +280,37 @@
 	s.await("the other client to be cut off", func() bool { return s.reasonCount(ReasonStalled) == 1 })
 }
 
+// failingListener fails for want of descriptors at its first accept.
+type failingListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+// Accept fails once.
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.failed.Swap(true) {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestServerOutlivesWantOfDescriptors checks that a server goes on after an accept failed for want of descriptors.
+func TestServerOutlivesWantOfDescriptors(t *testing.T) {
+	is := is.New(t)
+	g := NewGuard(Settings{Budget: fpbudget.New(16 << 20), Clock: fpclock.SinceBoot})
+	l, err := Listen("127.0.0.1:0")
+	is.NoErr(err)
+	server := &http.Server{Handler: Handler(http.NotFoundHandler()), ConnContext: ConnContext, ReadHeaderTimeout: time.Minute, ErrorLog: log.New(io.Discard, "", 0)}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(g.Guard(&failingListener{Listener: l}, Rules{})) }()
+	res, err := http.Get("http://" + l.Addr().String())
+	is.NoErr(err)
+	is.NoErr(res.Body.Close())
+	is.Equal(res.StatusCode, http.StatusNotFound)
+	is.NoErr(server.Close())
+	is.True(errors.Is(<-ended, http.ErrServerClosed))
+}
+
 // TestConnectionsAreBounded checks that no more connections than the limit are open, and that a client is served beside
 // silent ones.
 func TestConnectionsAreBounded(t *testing.T) {
