--- a/cmd/fescuepointd/crowd_test.go
+++ b/cmd/fescuepointd/crowd_test.go
@@ -221,7 +221,7 @@
 	}
 }
 
-// bear sends a crowd to an address, then asks an ordinary request beside it, and checks the bounds.
+// bear sends a crowd to an address, then asks an ordinary request beside it and one after it has left, and checks the bounds.
 func (h *crowdHost) bear(address string, c crowd) {
 	h.t.Helper()
 	ip, _, _ := net.SplitHostPort(address)
@@ -247,6 +247,10 @@
 	clients.Wait()
 	served := poll(crowdAwait, func() bool { return h.ask() || !h.alive() }) && h.alive()
 	h.settle()
+	for _, conn := range open {
+		_ = conn.Close()
+	}
+	servedAfter := poll(crowdAwait, func() bool { return h.ask() || !h.alive() }) && h.alive()
 	close(done)
 	watching.Wait()
 	h.t.Logf("%d clients: at most %.1f MB of %.0f, %d descriptors of %d", c.clients, float64(h.peakBytes.Load())/(1<<20), float64(h.memoryBytes)/(1<<20), h.peakDescriptors.Load(), h.descriptors)
@@ -255,6 +259,8 @@
 		h.t.Error("the process has ended")
 	case !served:
 		h.t.Error("no ordinary request was served")
+	case !servedAfter:
+		h.t.Error("no ordinary request was served after the crowd has left")
 	}
 	if h.peakBytes.Load() > h.memoryBytes {
 		h.t.Errorf("%.1f MB of %.0f", float64(h.peakBytes.Load())/(1<<20), float64(h.memoryBytes)/(1<<20))
@@ -268,9 +274,6 @@
 	}
 	_ = h.command.Process.Signal(syscall.SIGKILL)
 	<-h.exited
-	for _, conn := range open {
-		_ = conn.Close()
-	}
 }
 
 // settle waits until neither peak has risen for a while: a host may still be accepting what the crowd has sent.
