--- a/review/standin-3/hosts.go
+++ b/review/standin-3/hosts.go
@@ -53,10 +53,13 @@
 	}
 }
 
+// network begins the loopback addresses of a run, so that two runs at a time don't take each other's ports.
+var network = fmt.Sprintf("127.%d", 20+os.Getpid()%200)
+
 // newHost prepares the settings of a host with an address of its own.
 func newHost(s *store, d deployment, i int, folder string) *host {
 	zone := d.zones[i%len(d.zones)]
-	ip := fmt.Sprintf("127.21.%d.%d", i%len(d.zones)+1, i/len(d.zones)+10)
+	ip := fmt.Sprintf("%s.%d.%d", network, i%len(d.zones)+1, i/len(d.zones)+10)
 	h := &host{name: fmt.Sprintf("edge-%s-%d", zone, i/len(d.zones)+1), zone: zone}
 	h.storeName = h.name
 	free := func() int {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -42,7 +42,7 @@
 	quietLog  = log.New(io.Discard, "", 0)
 	scratch   string
 
-	cases = map[string]func() bool{"behind": playBehind, "spoilt": playSpoilt, "poison": playPoison, "parts": playParts}
+	cases = map[string]func() bool{"behind": playBehind, "spoilt": playSpoilt, "poison": playPoison, "parts": playParts, "brittle": playBrittle}
 )
 
 func (p *processList) add(x *os.Process) {
--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -26,6 +28,13 @@
 
 		mu    sync.Mutex
 		limit string
+		// brittle is what the replica says in Server-Brittle, room how many requests it takes, 0 for four times its
+		// slots, and onReject is told how many it has rejected within a second.
+		brittle  string
+		room     int
+		rejected []time.Time
+		onReject func(within int)
+		slotsIn  chan struct{}
 		// spoil reports whether the next answer is spoilt, nil for none.
 		spoil func() bool
 		// crashes reports whether the replica crashes as it begins to run a request; nil for never.
@@ -40,8 +49,8 @@
 )
 
 func newReplica(id, service, zone string, slots int, work time.Duration) *replica {
-	r := &replica{id: id, service: service, zone: zone, slots: slots, work: work, born: time.Now().UnixMilli(), ran: map[string]int{}}
-	r.listener = mustListen("127.21.9.1")
+	r := &replica{id: id, service: service, zone: zone, slots: slots, work: work, born: time.Now().UnixMilli(), ran: map[string]int{}, slotsIn: make(chan struct{}, slots)}
+	r.listener = mustListen(network + ".9.1")
 	r.server = &http.Server{Handler: r, ErrorLog: quietLog}
 	go func() { _ = r.server.Serve(r.listener) }()
 	return r
@@ -79,7 +88,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.arrivals = append(r.arrivals, arrival{id, path, time.Now()})
-	if r.running >= 4*r.slots {
+	if r.running >= cmp.Or(r.room, 4*r.slots) {
+		r.reject()
 		return r.limit, r.running, false
 	}
 	r.running++
@@ -87,6 +97,22 @@
 	return r.limit, r.running, true
 }
 
+// saysBrittle returns what the replica says in Server-Brittle.
+func (r *replica) saysBrittle() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.brittle
+}
+
+// reject counts a rejection; the mutex must be held.
+func (r *replica) reject() {
+	now := time.Now()
+	r.rejected = append(slices.DeleteFunc(r.rejected, func(t time.Time) bool { return now.Sub(t) > time.Second }), now)
+	if r.onReject != nil {
+		go r.onReject(len(r.rejected))
+	}
+}
+
 func (r *replica) end() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -115,6 +141,9 @@
 		w.Header().Set("Server-Limit", limit)
 	}
 	w.Header().Set("Replica-Load", fmt.Sprintf("%d,0,%d", running, r.slots))
+	if b := r.saysBrittle(); b != "" {
+		w.Header().Set("Server-Brittle", b)
+	}
 	if !ok {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -129,6 +158,14 @@
 		_ = r.server.Close()
 		panic(http.ErrAbortHandler)
 	}
+	if r.room > 0 {
+		select {
+		case r.slotsIn <- struct{}{}:
+			defer func() { <-r.slotsIn }()
+		case <-q.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
 	select {
 	case <-time.After(r.work):
 	case <-q.Context().Done():
