--- a/review/standin-3/hosts.go
+++ b/review/standin-3/hosts.go
@@ -31,6 +31,7 @@
 		command     *exec.Cmd
 		exited      chan struct{}
 		exitMessage string
+		reserved    []net.Listener
 	}
 
 	// deployment describes the hosts of a case.
@@ -62,13 +63,15 @@
 	ip := fmt.Sprintf("%s.%d.%d", network, i%len(d.zones)+1, i/len(d.zones)+10)
 	h := &host{name: fmt.Sprintf("edge-%s-%d", zone, i/len(d.zones)+1), zone: zone}
 	h.storeName = h.name
+	storeAddress := s.Listen(h.storeName, ip)
+	// All ports are chosen before the first is given back, so that they differ.
 	free := func() int {
 		l := mustListen(ip)
-		defer func() { _ = l.Close() }()
+		h.reserved = append(h.reserved, l)
 		return l.Addr().(*net.TCPAddr).Port
 	}
 	h.front, h.ready = fmt.Sprintf("%s:%d", ip, free()), fmt.Sprintf("%s:%d", ip, free())
-	peer := free()
+	peer, control := free(), free()
 	zones := map[string]string{}
 	for _, z := range d.zones {
 		zones[z] = "region-" + z
@@ -76,14 +79,14 @@
 	settings := map[string]any{
 		"node_name": h.name, "role": "router", "machine_class": "edge", "serving_classes": []string{"edge", "control_plane"},
 		"ip": ip, "zone": zone, "region": zones[zone], "zones": zones,
-		"listen":     map[string]any{"front": h.front, "ready": h.ready, "control": fmt.Sprintf("%s:%d", ip, free())},
+		"listen":     map[string]any{"front": h.front, "ready": h.ready, "control": fmt.Sprintf("%s:%d", ip, control)},
 		"port_range": []int{peer, peer + 15}, "seed_addrs": []string{}, "bootstrap": true, "loss_counts": false,
 		"limits":   map[string]any{"cpu_share": 0.4, "cpu_cores": 1, "memory_mb": 134, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
 		"data_dir": nil, "discovery_mode": "platform", "entry_mode": "vip", "heartbeat_ms": 1200,
 		"active_contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "kvcache", "stream", "engine", "tenants", "platform"},
 		"fault_tolerance":  map[string]any{"node_losses": 1, "zones": 0, "region_losses": 0},
 		"contract_bounds":  defaultBounds(),
-		"platform": map[string]any{"address": s.Listen(h.storeName, ip), "form": "kv", "writes_per_s": 400, "reads_per_s": 2000,
+		"platform": map[string]any{"address": storeAddress, "form": "kv", "writes_per_s": 400, "reads_per_s": 2000,
 			"history_s": 20, "value_bytes": 1048576, "ttl_min_ms": 1000},
 	}
 	data, _ := json.MarshalIndent(settings, "", " ")
@@ -152,6 +155,12 @@
 
 // startAll starts the hosts and waits until they say that they are ready.
 func startAll(hosts []*host) {
+	for _, h := range hosts {
+		for _, l := range h.reserved {
+			_ = l.Close()
+		}
+		h.reserved = nil
+	}
 	for _, h := range hosts {
 		h.start()
 	}
@@ -159,7 +168,8 @@
 	for _, h := range hosts {
 		for !h.isReady() {
 			if time.Now().After(deadline) {
-				fail(fmt.Errorf("%s is not ready", h.name))
+				data, _ := os.ReadFile(h.logFile)
+				fail(fmt.Errorf("%s is not ready (running: %v): %.2000s", h.name, h.running(), data))
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
