--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Plays the case; TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-exec review/bin/standin-3 brittle review/12
+exec review/bin/standin-3 takeup review/12
--- a/review/standin-3/limit.go
+++ b/review/standin-3/limit.go
@@ -15,6 +15,11 @@
 	limitExtra  = 5
 )
 
+func route(name, domain, prefix, service string, timeoutMs int, public bool) map[string]any {
+	return map[string]any{"name": name, "host": domain, "prefix": prefix, "kind": "idempotent", "timeout_ms": timeoutMs, "target_latency_ms": 300,
+		"priority": 1, "service": service, "max_attempts": 2, "public": public, "sticky": false, "resumable": false}
+}
+
 // limitedConfig returns a configuration with one route.
 func limitedConfig() map[string]any {
 	return map[string]any{
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -42,7 +42,7 @@
 	quietLog  = log.New(io.Discard, "", 0)
 	scratch   string
 
-	cases = map[string]func() bool{"behind": playBehind, "spoilt": playSpoilt, "poison": playPoison, "parts": playParts, "brittle": playBrittle}
+	cases = map[string]func() bool{"spoilt": playSpoilt, "poison": playPoison, "parts": playParts, "takeup": playTakeUp, "query": playQuery}
 )
 
 func (p *processList) add(x *os.Process) {
--- a/review/standin-3/poison.go
+++ b/review/standin-3/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"sync"
 	"time"
 )
@@ -14,6 +15,8 @@
 	entryTimeout = 3600 * time.Millisecond
 	poisonEvery  = 1500 * time.Millisecond
 	soundEvery   = 2 * time.Second
+	// usualEvery is the interval of sound requests in usual traffic.
+	usualEvery = 50 * time.Millisecond
 	// allowedRetries is the rule's.
 	allowedRetries = 3
 )
@@ -57,7 +60,21 @@
 }
 
 // playPoison plays: few requests come, and one of them crashes each replica that begins to run it.
-func playPoison() bool {
+func playPoison() bool { return playCrashing(soundEvery, func(int) string { return "/status/x" }) }
+
+// playQuery plays: many requests come, and one of them, with another query each time, crashes each replica that begins to run
+// it. With SAME set, the query is the same each time.
+func playQuery() bool {
+	return playCrashing(usualEvery, func(n int) string {
+		if os.Getenv("SAME") != "" {
+			n = 0
+		}
+		return fmt.Sprintf("/status/x?t=%d", n)
+	})
+}
+
+// playCrashing plays sound requests at an interval, and a poisonous one whose target may depend on how often it came before.
+func playCrashing(soundEvery time.Duration, target func(int) string) bool {
 	s := newStore()
 	d := deployment{zones: []string{"delta-a", "sandmtn-a", "ngeorgia-a"}, hosts: 6}
 	c := &crashes{crashesWith: func(body, _ string) bool { return body == poisonBody }}
@@ -95,7 +112,7 @@
 			nextSound = nextSound.Add(soundEvery)
 		}
 		if trouble && time.Now().After(nextPoison) {
-			send("poisonous", poison, "/status/x", poisonBody)
+			send("poisonous", poison, target(poison), poisonBody)
 			poison++
 			nextPoison = nextPoison.Add(poisonEvery)
 		}
--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -6,7 +6,7 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -28,28 +28,23 @@
 
 		mu    sync.Mutex
 		limit string
-		// brittle is what the replica says in Server-Brittle, room how many requests it takes, 0 for four times its
-		// slots, and onReject is told how many it has rejected within a second.
-		brittle  string
-		room     int
-		rejected []time.Time
-		onReject func(within int)
-		slotsIn  chan struct{}
 		// spoil reports whether the next answer is spoilt, nil for none.
 		spoil func() bool
 		// crashes reports whether the replica crashes as it begins to run a request; nil for never.
 		crashes func(id, body, prefix string) bool
 		// generation is how long the replica streams an answer, 0 if it answers at once.
 		generation time.Duration
-		server     *http.Server
-		running    int
-		arrivals   []arrival
-		ran        map[string]int
+		// version is that of the software, v1 if it is empty.
+		version  string
+		server   *http.Server
+		running  int
+		arrivals []arrival
+		ran      map[string]int
 	}
 )
 
 func newReplica(id, service, zone string, slots int, work time.Duration) *replica {
-	r := &replica{id: id, service: service, zone: zone, slots: slots, work: work, born: time.Now().UnixMilli(), ran: map[string]int{}, slotsIn: make(chan struct{}, slots)}
+	r := &replica{id: id, service: service, zone: zone, slots: slots, work: work, born: time.Now().UnixMilli(), ran: map[string]int{}}
 	r.listener = mustListen(network + ".9.1")
 	r.server = &http.Server{Handler: r, ErrorLog: quietLog}
 	go func() { _ = r.server.Serve(r.listener) }()
@@ -59,7 +54,7 @@
 // entry returns what the replica registers in the store.
 func (r *replica) entry(state string) map[string]any {
 	return map[string]any{
-		"service": r.service, "address": r.listener.Addr().String(), "zone": r.zone, "version": "v1", "slot_count": r.slots,
+		"service": r.service, "address": r.listener.Addr().String(), "zone": r.zone, "version": cmp.Or(r.version, "v1"), "slot_count": r.slots,
 		"state": state, "cold_left_ms": 0, "seq": 1, "born": r.born,
 	}
 }
@@ -88,8 +83,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.arrivals = append(r.arrivals, arrival{id, path, time.Now()})
-	if r.running >= cmp.Or(r.room, 4*r.slots) {
-		r.reject()
+	if r.running >= 4*r.slots {
 		return r.limit, r.running, false
 	}
 	r.running++
@@ -97,22 +91,6 @@
 	return r.limit, r.running, true
 }
 
-// saysBrittle returns what the replica says in Server-Brittle.
-func (r *replica) saysBrittle() string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.brittle
-}
-
-// reject counts a rejection; the mutex must be held.
-func (r *replica) reject() {
-	now := time.Now()
-	r.rejected = append(slices.DeleteFunc(r.rejected, func(t time.Time) bool { return now.Sub(t) > time.Second }), now)
-	if r.onReject != nil {
-		go r.onReject(len(r.rejected))
-	}
-}
-
 func (r *replica) end() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -141,9 +119,6 @@
 		w.Header().Set("Server-Limit", limit)
 	}
 	w.Header().Set("Replica-Load", fmt.Sprintf("%d,0,%d", running, r.slots))
-	if b := r.saysBrittle(); b != "" {
-		w.Header().Set("Server-Brittle", b)
-	}
 	if !ok {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -158,14 +133,6 @@
 		_ = r.server.Close()
 		panic(http.ErrAbortHandler)
 	}
-	if r.room > 0 {
-		select {
-		case r.slotsIn <- struct{}{}:
-			defer func() { <-r.slotsIn }()
-		case <-q.Context().Done():
-			panic(http.ErrAbortHandler)
-		}
-	}
 	select {
 	case <-time.After(r.work):
 	case <-q.Context().Done():
@@ -200,8 +167,9 @@
 func (r *replica) streamAnswer(w http.ResponseWriter, q *http.Request) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	const gap = 200 * time.Millisecond
-	for i := range int(r.generation / gap) {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece\n\n", i+1)
+	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	for i := last + 1; i <= int(r.generation/gap); i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, cmp.Or(r.version, "v1"))
 		_ = http.NewResponseController(w).Flush()
 		select {
 		case <-time.After(gap):
