A request that crashes replicas is convicted by what its trials show where nothing else is answered

Cause: a conviction waited for three complete answers to other requests at the same host, and until then each attempt went on as a trial. The answers were to show that replicas live without the request; the trials show that themselves, and nobody looked.

Change: a trial is an experiment: one request with the suspect alone at a replica. What counts is how long the replica had run before and how soon it crashed after. Two or more such trials convict once the probability that all of these replicas crashed by themselves just then is at most 1e-6, unless less than 45 % of the crashes since its first were under it: then all requests may crash replicas. Parts that were at all these crashes go into quarantine together, since nothing tells them apart: prompts are refused that have all of them. On the other side a replica that runs a suspected request, or brings events of it, for longer than the crashed ones had it clears it of those crashes; replicas that give no sign are asked for their report, once a second while there are suspects. One whose report names waiting requests, or whose stream has not begun, ends only the haste, not the suspicion.

Why it works: replicas that crash by themselves do so at any time of their lives, hardly ever three times in a row within milliseconds of a request. No count of answers is needed, and none was lowered: the rule with answers is as it was.

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -258,7 +258,8 @@
 	q.triedReplicas = append(q.triedReplicas, c.Replica.ID)
 	q.announceTrial(c.Replica.ID)
 	q.announceWork(c, false)
-	g.trackUnbegun(q, cancelCause)
+	g.trackAttempt(q, cancelCause)
+	defer g.untrackAttempt(q)
 	a, err := g.pool.Do(attempt, q.buildCall(attempt, c, sentAt))
 	g.untrackUnbegun(q)
 	if err != nil {
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -185,7 +185,7 @@
 	rollout := newRollout(g)
 	for _, f := range []func(context.Context) error{
 		g.logQueue.Run, g.runControl, follower.Run, g.maintainHostEntry, rollout.run, g.runEventReaders, g.receiveNotices, g.applyReloads,
-		g.runQuarantine, g.storeQuarantine, g.shareOrigins, g.confirmOwnOrigins, g.storeBuilds, g.probeUnreachable, g.checkSilentReplicas, g.guard.Run,
+		g.runQuarantine, g.storeQuarantine, g.shareOrigins, g.confirmOwnOrigins, g.storeBuilds, g.probeUnreachable, g.checkSilentReplicas, g.checkSurvivals, g.guard.Run,
 	} {
 		taskCtx, stop := context.WithCancel(inner)
 		r.Add(func() error { return f(taskCtx) }, func(error) { stop() })
--- a/internal/fpgateway/peers.go
+++ b/internal/fpgateway/peers.go
@@ -81,6 +81,9 @@
 	if a := n.Answered; a != nil {
 		g.handleAnsweredNotice(a)
 	}
+	if s := n.Survived; s != nil {
+		g.handleSurvivalNotice(s)
+	}
 	if t := n.Trial; t != nil {
 		g.handleTrialNotice(t)
 	}
--- a/internal/fpgateway/quarantine.go
+++ b/internal/fpgateway/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/fescuepoint/fescuepoint/internal/fpclock"
 	"github.com/fescuepoint/fescuepoint/internal/fpnotice"
 	"github.com/fescuepoint/fescuepoint/internal/fpstore"
+	"github.com/fescuepoint/fescuepoint/pkg/fpcatalog"
 	"github.com/fescuepoint/fescuepoint/pkg/fpquarantine"
 )
 
@@ -35,7 +35,7 @@
 	maxAnnounceDelay     = time.Second
 	// maxPartIDBytes is the longest ID of a part that can be quarantined; it fits into a key and
 	// into a notice.
-	maxPartIDBytes = 160
+	maxPartIDBytes = fpquarantine.MaxIDBytes
 	// maxNoticePartsBytes bounds the IDs in one notice.
 	maxNoticePartsBytes = 900
 	// noticePartBytes is what a part takes in a notice besides its ID.
@@ -62,8 +62,9 @@
 		announcements map[string]announcement
 		// trials holds the suspected parts that are on trial at a replica.
 		trials fpquarantine.Trials
-		// unbegun holds the attempts that have no answer yet.
+		// unbegun holds the attempts that have no answer yet, and running all that have not ended.
 		unbegun map[*request]context.CancelCauseFunc
+		running map[*request]*runningAttempt
 	}
 
 	// announcement is an answer to an attempt that was sent at a time; it is announced later.
@@ -77,6 +78,7 @@
 	return &quarantine{
 		tracker: fpquarantine.New(), revisions: make(map[string]int64), writeAt: make(map[string]time.Duration),
 		expired: make(map[string]bool), announcements: make(map[string]announcement), unbegun: make(map[*request]context.CancelCauseFunc),
+		running: make(map[*request]*runningAttempt),
 	}
 }
 
@@ -212,11 +214,14 @@
 	g.scheduleAnnouncements(g.quarantine.tracker.RecordAnswer(ids, sentAt))
 }
 
-// describeQuarantined names a part or a request in quarantine.
+// describeQuarantined names a part, a combination of parts or a request in quarantine.
 func describeQuarantined(id string) string {
 	if fingerprint, ok := strings.CutPrefix(id, requestIDPrefix); ok {
 		return "request " + fingerprint
 	}
+	if fpquarantine.IsCombination(id) {
+		return "prompt parts " + id + " together"
+	}
 	return "prompt part " + id
 }
 
@@ -241,24 +246,37 @@
 	return false
 }
 
-// trackUnbegun makes an attempt end when its request or a part of its prompt is put into quarantine.
-func (g *Gateway) trackUnbegun(q *request, cancel context.CancelCauseFunc) {
+// trackAttempt makes an attempt end when its request or a part of its prompt is put into quarantine before it is
+// answered.
+func (g *Gateway) trackAttempt(q *request, cancel context.CancelCauseFunc) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.quarantine.unbegun[q] = cancel
+	g.quarantine.running[q] = &runningAttempt{
+		replica: q.choice.Replica.ID, startUnixMilli: q.choice.Replica.StartUnixMilli, stream: q.route.Kind == fpcatalog.Stream, sentAt: q.sentAt,
+	}
 }
 
+// untrackUnbegun keeps an attempt from being ended that is answered.
 func (g *Gateway) untrackUnbegun(q *request) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.quarantine.unbegun, q)
 }
 
+func (g *Gateway) untrackAttempt(q *request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.quarantine.unbegun, q)
+	delete(g.quarantine.running, q)
+}
+
 // runQuarantine judges the evidence until the context ends.
 func (g *Gateway) runQuarantine(ctx context.Context) error {
 	for fpclock.Sleep(ctx, quarantineInterval) {
 		g.mu.Lock()
 		now := g.clock()
+		survived := g.recordSurvivals()
 		convicted := g.quarantine.tracker.Convict(now)
 		expired := g.quarantine.tracker.Expired(now)
 		for _, id := range expired {
@@ -270,6 +288,7 @@
 		g.quarantine.suspects = after
 		count := len(g.quarantine.tracker.Entries(now))
 		g.mu.Unlock()
+		g.announceSurvivals(survived)
 		g.logSuspects(before, after)
 		for _, id := range convicted {
 			g.enforceQuarantine(id, g.settings().Host)
@@ -288,7 +307,7 @@
 func (g *Gateway) logSuspects(before, after map[string]fpquarantine.Suspicion) {
 	for id, s := range after {
 		if s != before[id] {
-			g.log("suspected of crashing replicas", "Part", id, "Crashes", s.Crashes, "Links", s.Links, "Failures", s.Failures, "Trials", s.Trials)
+			g.log("suspected of crashing replicas", "Part", id, "Crashes", s.Crashes, "Links", s.Links, "Failures", s.Failures, "Trials", s.Trials, "Sudden", s.Sudden, "Chance", s.Chance)
 		}
 	}
 	for id := range before {
@@ -325,7 +344,7 @@
 	ended := 0
 	g.mu.Lock()
 	for q, cancel := range g.quarantine.unbegun {
-		if slices.Contains(q.quarantineIDs, id) {
+		if fpquarantine.Covers(id, q.quarantineIDs) {
 			cancel(errQuarantined)
 			ended++
 		}
--- a/internal/fpgateway/relay.go
+++ b/internal/fpgateway/relay.go
@@ -174,7 +174,7 @@
 			onFirstByte = nil
 			q.gateway.recordSuccess(c.Replica.ID)
 		}
-		q.gateway.hear(c.Replica.ID, q.gateway.clock())
+		q.hearEvent(c.Replica.ID)
 		if err := q.writeEvent(event); err != nil {
 			q.appendTrail("caller: %v", err)
 			q.reason = "the caller left"
--- a/internal/fpgateway/start.go
+++ b/internal/fpgateway/start.go
@@ -45,10 +45,12 @@
 type (
 	startState int
 
-	// seenStart is the start of a replica, in Unix milliseconds, that was seen to answer at or after a time.
+	// seenStart is the start of a replica, in Unix milliseconds, that was seen to answer at or after a time. Its report
+	// may have said that no request waited there.
 	seenStart struct {
 		startUnixMilli int64
 		at             time.Duration
+		noneWaits      bool
 	}
 )
 
@@ -56,7 +58,7 @@
 // known.
 func (q *request) confirmStart(ctx context.Context, r fpbalance.Replica, a *fpconn.Response) startState {
 	if r.StartUnixMilli != 0 && a.Connection().Peer() == r.StartUnixMilli {
-		q.gateway.recordStart(r.ID, seenStart{r.StartUnixMilli, q.sentAt})
+		q.gateway.recordStart(r.ID, seenStart{startUnixMilli: r.StartUnixMilli, at: q.sentAt})
 	}
 	return q.confirmConnection(ctx, r, a.Connection(), startCheckTimeout)
 }
@@ -179,12 +181,12 @@
 	start := cmp.Or(report.StartUnixMilli, r.StartUnixMilli)
 	if start != r.StartUnixMilli {
 		g.log("replica restarted before its registration", "Replica", r.ID, "Start", start, "Registered", r.StartUnixMilli)
-		g.recordStart(id, seenStart{start, asked})
+		g.recordStart(id, seenStart{startUnixMilli: start, at: asked})
 		g.pauseReplica(id, r.StartUnixMilli, restartedPause)
 		g.recordCrash(id, "another start answers")
 		return start, nil
 	}
-	g.recordStart(id, seenStart{r.StartUnixMilli, asked})
+	g.recordStart(id, seenStart{startUnixMilli: r.StartUnixMilli, at: asked, noneWaits: report.Queued == 0})
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.silences.HearStart(id, asked, g.clock())
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -335,6 +335,9 @@
 	if r.Draining {
 		c.gateway.log("replica draining", "Replica", r.ID, "Revision", r.Revision)
 	}
+	if startTime, ok := c.startTimes[r.ID]; !ok || startTime != r.StartUnixMilli {
+		c.gateway.recordReplicaStart(r.ID, now)
+	}
 	c.startTimes[r.ID] = r.StartUnixMilli
 	if len(r.Weights) > 0 && !registrationsDue(c.restoredAt, now) {
 		c.weights.Record(r.ID, fpweights.Statement{Version: registeredWeights(*r), At: now, Lag: fpweights.EntryLag})
@@ -386,7 +389,7 @@
 			s.nearPeers = append(s.nearPeers, h.address)
 		}
 	}
-	c.pruneReplicas(s.registered)
+	c.pruneReplicas(s.registered, now)
 	c.addBuilds(s, now)
 	c.gateway.markLeaving(s.registered)
 	for _, r := range s.registered {
@@ -398,7 +401,7 @@
 }
 
 // pruneReplicas drops the state of replicas that are no longer registered.
-func (c *controlState) pruneReplicas(registered []fpfleet.Replica) {
+func (c *controlState) pruneReplicas(registered []fpfleet.Replica, now time.Duration) {
 	if len(c.startTimes) <= len(registered) {
 		return
 	}
@@ -412,6 +415,7 @@
 			c.weights.Forget(id)
 			delete(c.loadingUntil, id)
 			c.gateway.forgetReplica(id)
+			c.gateway.recordReplicaEnd(id, now)
 		}
 	}
 }
--- a/internal/fpnotice/notice.go
+++ b/internal/fpnotice/notice.go
@@ -89,6 +89,15 @@
 		SentAgesMs []int64
 	}
 
+	// PartsSurvived reports that replicas have lived on with prompts with these parts: how long ago each was sent to its
+	// replica, and for how long the replica has been seen to live on since. Begun says that none of them waited there.
+	PartsSurvived struct {
+		Begun      bool `json:",omitempty"`
+		IDs        []string
+		SentAgesMs []int64
+		LivedMs    []int64
+	}
+
 	// PartsOnTrial reports that a request with these suspected parts is sent to a replica.
 	PartsOnTrial struct {
 		IDs     []string
@@ -146,6 +155,7 @@
 
 		Crash       *ReplicaCrash    `json:",omitempty"`
 		Answered    *PartsAnswered   `json:",omitempty"`
+		Survived    *PartsSurvived   `json:",omitempty"`
 		Quarantined *PartQuarantined `json:",omitempty"`
 		Trial       *PartsOnTrial    `json:",omitempty"`
 		Limit       *ReplicaLimit    `json:",omitempty"`
--- a/pkg/fpquarantine/evidence.go
+++ b/pkg/fpquarantine/evidence.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -9,12 +11,16 @@
 	// Suspicion is the evidence against a part or a request that is not convicted: the crashes at which it
 	// was, those whose attempt was sent after the one before (links), the links that are well apart
 	// (failures), and the crashes at which it alone was on trial. Since counts all crashes since its first.
+	// Sudden counts the trials whose replica crashed before another one lived on for longer with the same, and Chance is the
+	// probability that all replicas of these crashed by themselves just then.
 	Suspicion struct {
 		Crashes  int
 		Links    int
 		Failures int
 		Trials   int
 		Since    int
+		Sudden   int
+		Chance   float64
 	}
 
 	// evidence is what speaks against a part or a request.
@@ -23,8 +29,9 @@
 		id         string
 		depth      int
 		lastLinkAt time.Duration
-		// failedAt is the time of the last failure.
-		failedAt time.Duration
+		// failedAt is the time of the last failure, and lastSuddenAt that of the last sudden crash.
+		failedAt     time.Duration
+		lastSuddenAt time.Duration
 		// firstCrash is the number of crashes before the first.
 		firstCrash int
 		// answersBefore is the number of complete answers before the first crash.
@@ -53,6 +60,13 @@
 	return s.Links >= minRequestLinks || s.suspected() && s.Crashes >= minRequestCrashes
 }
 
+// convictsAlone reports whether the evidence convicts without an answer to anything else: replicas that
+// serve nothing live on, and crash as soon as they get the part or the request. Where others crash replicas
+// as well, all requests may do so.
+func (s Suspicion) convictsAlone() bool {
+	return s.Sudden >= minSuddenTrials && s.Chance <= maxChance && float64(s.Crashes) >= minLoneShare*float64(s.Since)
+}
+
 // convictParts puts the parts into quarantine that the evidence convicts and returns them. Crashes of a part
 // that more speaks against do not speak against another one.
 func (t *Tracker) convictParts(now time.Duration) []string {
@@ -73,12 +87,38 @@
 				blamed[c] = true
 			}
 		}
-		if best.sufficient && now >= best.sufficientAt+settleTime && t.Quarantine(best.id, now) {
-			out = append(out, best.id)
+		id := best.id
+		if !best.sufficient && best.convictsAlone() {
+			id, best.sufficient, best.sufficientAt = t.inseparable(id), true, best.lastSuddenAt
+		}
+		if best.sufficient && id != "" && now >= best.sufficientAt+settleTime && t.Quarantine(id, now) {
+			out = append(out, id)
 		}
 	}
 }
 
+// inseparable returns the ID of all parts that were at each crash at which the given one was, or "" if it has none. Without
+// an answer to a prompt with one of them, nothing tells them apart.
+func (t *Tracker) inseparable(id string) string {
+	var common map[string]attempt
+	for _, c := range t.crashes {
+		if _, ok := c.parts[id]; !ok {
+			continue
+		}
+		if common == nil {
+			common = maps.Clone(c.parts)
+		}
+		maps.DeleteFunc(common, func(other string, _ attempt) bool {
+			_, ok := c.parts[other]
+			return !ok
+		})
+	}
+	ids := slices.SortedFunc(maps.Keys(common), func(a, b string) int {
+		return cmp.Or(cmp.Compare(common[a].depth, common[b].depth), cmp.Compare(a, b))
+	})
+	return Combine(ids)
+}
+
 // partEvidence returns the evidence against parts, without that from the given crashes.
 func (t *Tracker) partEvidence(without map[*crash]bool) map[string]*evidence {
 	return t.evidence(func(c *crash) map[string]attempt {
@@ -101,6 +141,9 @@
 	var out []string
 	most, tied := 0, 0
 	for id, e := range t.requestEvidence() {
+		if !e.sufficient && e.convictsAlone() {
+			e.sufficient, e.sufficientAt = true, e.lastSuddenAt
+		}
 		if !e.sufficient || e.Crashes < most {
 			continue
 		}
@@ -131,7 +174,7 @@
 		if !c.explained && !c.aged {
 			crashes++
 		}
-		tried := c.tried()
+		triedPart, triedRequest := c.tried()
 		for id, a := range attempts(c) {
 			if t.held[id] < minSuspectLinks {
 				continue
@@ -139,6 +182,7 @@
 			e := out[id]
 			if e == nil {
 				e = &evidence{id: id, firstCrash: crashes - 1, answersBefore: c.answersBefore}
+				e.Chance = 1
 				out[id] = e
 			}
 			e.Crashes++
@@ -152,8 +196,13 @@
 					e.failedAt = c.at
 				}
 			}
-			if id == tried {
+			if id == triedPart || id == triedRequest {
 				e.Trials++
+				if !a.outlived {
+					e.Sudden++
+					e.Chance *= c.chance(a)
+					e.lastSuddenAt = c.at
+				}
 			}
 			if !e.sufficient && convicts(e.Suspicion) && t.answers-e.answersBefore >= minOtherAnswers {
 				e.sufficient, e.sufficientAt = true, c.at
@@ -163,19 +212,31 @@
 	return out
 }
 
-// tried returns the deepest part of the request that was on trial as the replica crashed, "" if none was or
-// several were.
-func (c *crash) tried() string {
+// tried returns the request that was on trial as the replica crashed, and the deepest part of its prompt, "" if none was
+// or several were.
+func (c *crash) tried() (part, request string) {
 	if len(c.trials) != 1 {
-		return ""
+		return "", ""
 	}
-	best, depth := "", -1
+	depth := -1
 	for id, a := range c.parts {
 		if a.trial && a.depth > depth {
-			best, depth = id, a.depth
+			part, depth = id, a.depth
 		}
 	}
-	return best
+	for id := range c.trials {
+		request = id
+	}
+	return part, request
+}
+
+// chance returns the probability that a replica which crashed by itself did so within the time for which it had the
+// attempt.
+func (c *crash) chance(a attempt) float64 {
+	if c.uptime <= 0 {
+		return 1
+	}
+	return min(1, float64(max(c.at-a.sentAt, minCrashTime))/float64(c.uptime))
 }
 
 // Suspects returns the parts and requests that several crashes in sequence speak against, none of which is
--- a/pkg/fpquarantine/tracker.go
+++ b/pkg/fpquarantine/tracker.go
@@ -33,6 +33,17 @@
 	// that was at manyCrashes.
 	minTrials   = 3
 	manyCrashes = 8
+	// minSuddenTrials is the least number of trials that ended in a crash that convict without other answers, if the
+	// replicas had crashed by themselves with a probability of at most maxChance, and if it was at minLoneShare of all
+	// crashes since its first.
+	minSuddenTrials = 2
+	maxChance       = 1e-6
+	minLoneShare    = 0.45
+	// minCrashTime is the shortest time from sending an attempt to the crash that can be told.
+	minCrashTime = 10 * time.Millisecond
+	// minOutlived is how many times longer than before a crash another replica has to live with an attempt for the crash
+	// to tell less.
+	minOutlived = 1.25
 	// settleTime is the time after the last of these crashes in which another host may report an
 	// answer that clears the part.
 	settleTime = 200 * time.Millisecond
@@ -95,6 +106,16 @@
 		// answers counts all complete answers.
 		answers     int
 		quarantined map[string]time.Duration
+		// combinations holds those IDs in quarantine that are of several parts.
+		combinations map[string]bool
+		// lives holds since when each replica has been known to run.
+		lives map[string]life
+	}
+
+	// life is the time in which a replica is known to run; endedAt is 0 while it does.
+	life struct {
+		since   time.Duration
+		endedAt time.Duration
 	}
 
 	// crash is one crash of a replica with the parts of the requests that it broke off, by ID.
@@ -108,6 +129,8 @@
 		trials map[string]bool
 		// answersBefore is the number of complete answers before the crash became known.
 		answersBefore int
+		// uptime is how long the replica had been known to run, 0 if it was unknown.
+		uptime time.Duration
 		// explained says that one of the parts is in quarantine, so that the crash speaks against no
 		// other, and requestExplained the same of the requests. A part may crash the replicas under
 		// many requests, so that a request does not explain a crash for the parts.
@@ -122,6 +145,8 @@
 		depth  int
 		sentAt time.Duration
 		trial  bool
+		// outlived says that another replica lived on with the part, or the request, for longer.
+		outlived bool
 	}
 )
 
@@ -129,6 +154,25 @@
 func New() *Tracker {
 	return &Tracker{
 		held: make(map[string]int), answered: make(map[string]time.Duration), quarantined: make(map[string]time.Duration),
+		combinations: make(map[string]bool), lives: make(map[string]life),
+	}
+}
+
+// RecordStart records that a replica runs from a time on.
+func (t *Tracker) RecordStart(replica string, at time.Duration) { t.lives[replica] = life{since: at} }
+
+// RecordRunning records that a replica runs at a time, which begins its life unless it is known to have run before.
+func (t *Tracker) RecordRunning(replica string, at time.Duration) {
+	if _, known := t.lives[replica]; !known {
+		t.RecordStart(replica, at)
+	}
+}
+
+// RecordEnd records that a replica is gone. Other hosts may report its crash later.
+func (t *Tracker) RecordEnd(replica string, at time.Duration) {
+	if l, ok := t.lives[replica]; ok {
+		l.endedAt = at
+		t.lives[replica] = l
 	}
 }
 
@@ -177,7 +221,7 @@
 	case !known:
 		t.held[p.ID]++
 	}
-	attempts[p.ID] = attempt{depth: max(a.depth, p.Depth), sentAt: max(a.sentAt, p.SentAt), trial: a.trial || p.Trial}
+	attempts[p.ID] = attempt{depth: max(a.depth, p.Depth), sentAt: max(a.sentAt, p.SentAt), trial: a.trial || p.Trial, outlived: a.outlived}
 }
 
 // drop drops the evidence of a crash against a part or a request, if there is any.
@@ -206,6 +250,10 @@
 		}
 	}
 	c := &crash{replica: replica, at: at, parts: make(map[string]attempt), requests: make(map[string]attempt), trials: make(map[string]bool), answersBefore: t.answers}
+	if l, ok := t.lives[replica]; ok {
+		c.uptime = at - l.since
+		delete(t.lives, replica)
+	}
 	i, _ := slices.BinarySearchFunc(t.crashes, at, func(c *crash, at time.Duration) int { return int(c.at - at) })
 	t.crashes = slices.Insert(t.crashes, i, c)
 	if len(t.crashes) > maxCrashes {
@@ -233,6 +281,42 @@
 	return cleared
 }
 
+// RecordSurvival records that a replica has lived on with an attempt with the given parts for a time. It returns those
+// for which crashes up to then that came sooner after their attempt tell less now: nothing if the attempt has begun to
+// run, and no longer that replicas crash as soon as they get it if it may still wait.
+func (t *Tracker) RecordSurvival(ids []string, sentAt, lived time.Duration, begun bool) []string {
+	var changed []string
+	for _, id := range ids {
+		if t.outlive(id, sentAt, lived, begun) {
+			changed = append(changed, id)
+		}
+	}
+	return changed
+}
+
+func (t *Tracker) outlive(id string, sentAt, lived time.Duration, begun bool) bool {
+	found := false
+	for _, c := range t.crashes {
+		if t.held[id] == 0 || c.at > sentAt+lived {
+			break
+		}
+		for _, attempts := range []map[string]attempt{c.parts, c.requests} {
+			a, ok := attempts[id]
+			switch {
+			case !ok || minOutlived*(c.at-a.sentAt).Seconds() > lived.Seconds():
+			case begun:
+				t.drop(attempts, id)
+				found = true
+			case !a.outlived:
+				a.outlived = true
+				attempts[id] = a
+				found = true
+			}
+		}
+	}
+	return found
+}
+
 // RecordPeerAnswer records a complete answer that another host got.
 func (t *Tracker) RecordPeerAnswer(a Answer) { t.clear(a) }
 
@@ -283,6 +367,7 @@
 // ageCrashes drops the evidence that is too old. Of the requests at crashes that no longer count against
 // parts, those that were at another crash are kept.
 func (t *Tracker) ageCrashes(now time.Duration) {
+	maps.DeleteFunc(t.lives, func(_ string, l life) bool { return l.endedAt > 0 && now-l.endedAt > evidenceTTL })
 	for len(t.crashes) > 0 && now-t.crashes[0].at > requestEvidenceTTL {
 		t.dropOldest()
 	}
@@ -308,6 +393,9 @@
 		return false
 	}
 	t.quarantined[id] = since
+	if IsCombination(id) {
+		t.combinations[id] = true
+	}
 	t.explainCrashes()
 	return true
 }
@@ -326,20 +414,34 @@
 	}
 }
 
-// holdsAny reports whether one of the IDs is in quarantine.
+// holdsAny reports whether one of the IDs, or several in combination, are in quarantine.
 func (t *Tracker) holdsAny(ids iter.Seq[string]) bool {
-	for id := range ids {
+	if len(t.quarantined) == 0 {
+		return false
+	}
+	return t.covered(slices.Collect(ids)) != ""
+}
+
+// covered returns what is in quarantine of the given IDs, or of several in combination, "" for nothing.
+func (t *Tracker) covered(ids []string) string {
+	for _, id := range ids {
 		if _, ok := t.quarantined[id]; ok {
-			return true
+			return id
 		}
 	}
-	return false
+	for id := range t.combinations {
+		if Covers(id, ids) {
+			return id
+		}
+	}
+	return ""
 }
 
 // Release ends a part's quarantine and reports whether it was in quarantine.
 func (t *Tracker) Release(id string) bool {
 	_, ok := t.quarantined[id]
 	delete(t.quarantined, id)
+	delete(t.combinations, id)
 	return ok
 }
 
@@ -371,16 +473,15 @@
 	return out
 }
 
-// Find returns the first of the parts that is in quarantine, and for how much longer; it returns ""
-// if there is none.
+// Find returns which of the parts, or which combination of several, is in quarantine, and for how much longer; it returns
+// "" if there is none.
 func (t *Tracker) Find(ids []string, now time.Duration) (string, time.Duration) {
 	if len(t.quarantined) == 0 {
 		return "", 0
 	}
-	for _, id := range ids {
-		if since, ok := t.quarantined[id]; ok {
-			return id, max(since+Duration-now, 0)
-		}
+	id := t.covered(ids)
+	if id == "" {
+		return "", 0
 	}
-	return "", 0
+	return id, max(t.quarantined[id]+Duration-now, 0)
 }
