Origins of streams outlast the hosts: a host of each zone writes them to the store in segments

Cause: an origin lived in the memory of hosts alone, and a host that starts is told no more than the streams of the hosts that live and its own.

Weighed: what outlasts all hosts is the store, the replicas and the clients. Clients send back an ID of theirs and the last event's, which are not ours to write. Replicas keep nothing of a run whose channel is gone. A version that follows from the ID, with the rule in the store, needs no write at all, but splits each service's replicas by request instead of by prompt, and is a guess wherever a host was behind as the rule changed. So the store, but not a write a stream.

Change: while a service has several versions, the host through which a zone's others read the store writes the certain origins of the zone's streams, of which all its hosts are told anyway, every 300 ms as one segment: digests of 12 bytes by service and version (pkg/fporigin.Archive). Where a zone has no such host, each writes its own. Writers slow down with their number, to 100 writes a second of all. Segments are under leases that nobody renews, and end by themselves a retention later; the store holds 131,072 origins at most, each writer its share. All hosts learn the segments with the store's other changes, or with the list that they start with. Others than the writer keep what is new for 3 s, for the case that they take over from it. A host that stops writes what it has.

Why it works: an origin never changes, so that a segment that was written is true, whatever the store lost since; what is not there is unknown, as before, and refused. Only origins that are proved are written, and two that contradict each other count as none.

Two cases of the latter change what they ask: they pinned the refusal, now the streams of versions that serve have to go on, and none may be joined as before.

--- a/internal/fpgateway/build_test.go
+++ b/internal/fpgateway/build_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -260,9 +261,9 @@
 		"at a second host":                       {second: "v2", between: func(b *buildTest) { b.takenUpAt = b.other }, want: all},
 		"unknown first attempt":                  {second: "v2", resumes: "never seen", want: none},
 		"the old version left":                   {second: "v2", between: func(b *buildTest) { b.removeEngines("v1") }, want: someRefused},
-		"all hosts restarted":                    {second: "v2", between: (*buildTest).restartHosts, want: none},
+		"all hosts restarted":                    {second: "v2", between: (*buildTest).restartHosts, want: all},
 		"all hosts restarted after the old version left": {
-			second: "v2", want: none,
+			second: "v2", want: someRefused,
 			between: func(b *buildTest) {
 				b.awaitStored()
 				b.removeEngines("v1")
@@ -394,3 +395,84 @@
 		is.True(!joined(text))
 	}
 }
+
+// TestOriginsOutlastKilledHosts ends all hosts without a word to the store while replicas of two software versions serve,
+// and lets clients take up streams afterwards. It guards against origins that live in the hosts' memory alone, and against
+// a store that lacks some or tells others.
+func TestOriginsOutlastKilledHosts(t *testing.T) {
+	tests := map[string]struct {
+		// before and away change the store before the streams begin, and while the hosts are away.
+		before, away func(*buildTest)
+		want         int
+	}{
+		"killed":                        {want: takenUpStreams},
+		"the store had been away":       {before: func(b *buildTest) { b.store.SetFault(fpfake.StoreFault{Status: http.StatusServiceUnavailable}) }},
+		"the store lost the origins":    {away: func(b *buildTest) { b.deleteSegments() }},
+		"the store tells contradictory": {away: func(b *buildTest) { b.contradictSegments() }},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			b := newBuildTest(t, "v2")
+			b.awaitStored()
+			if tt.before != nil {
+				tt.before(b)
+			}
+			streams := b.beginStreams()
+			fpclock.Sleep(context.Background(), 700*time.Millisecond) // the last origin has been told
+			b.store.SetFault(fpfake.StoreFault{Status: http.StatusServiceUnavailable})
+			for _, o := range []*testCluster{b.testCluster, b.other} {
+				o.cancel()
+				o.runResult <- <-o.runResult
+			}
+			b.store.SetFault(fpfake.StoreFault{})
+			if tt.away != nil {
+				tt.away(b)
+			}
+			for _, o := range []*testCluster{b.testCluster, b.other} {
+				o.startHost()
+			}
+			for _, o := range []*testCluster{b.testCluster, b.other} {
+				b.waitFor(o.isReady, "ready again")
+			}
+			wentOn, joinedCount := 0, 0
+			for _, s := range streams {
+				text, status := b.takeUp(s, "")
+				if joined(text) {
+					joinedCount++
+				}
+				if status == http.StatusOK {
+					wentOn++
+				}
+			}
+			t.Logf("of %d streams %d went on, %d were joined", len(streams), wentOn, joinedCount)
+			is.Equal(joinedCount, 0)
+			is.Equal(wentOn, tt.want)
+		})
+	}
+}
+
+const originKeys = "fescuepoint/origins/"
+
+// deleteSegments deletes the origins of streams from the store.
+func (b *buildTest) deleteSegments() {
+	for _, key := range b.store.Keys(originKeys) {
+		b.store.Delete(key)
+	}
+}
+
+// contradictSegments adds the origins in the store again, each with the other version.
+func (b *buildTest) contradictSegments() {
+	for i, key := range b.store.Keys(originKeys) {
+		value, _ := b.store.GetString(key)
+		var groups []map[string]any
+		if err := json.Unmarshal([]byte(value), &groups); err != nil {
+			b.t.Fatal(err)
+		}
+		for _, g := range groups {
+			g["Build"] = map[any]string{"v1": "v2", "v2": "v1"}[g["Build"]]
+		}
+		b.store.Put(fmt.Sprint(originKeys, "other/", i), groups)
+	}
+}
--- a/internal/fpgateway/gateway.go
+++ b/internal/fpgateway/gateway.go
@@ -108,6 +108,11 @@
 		uncertain map[string]time.Duration
 		// origins holds at which software version each stream began.
 		origins *fporigin.Table
+		// archive holds the origins that the store has told, and unarchived those that it is to be told.
+		archive    fporigin.Archive
+		unarchived []unarchivedOrigin
+		// readsForZone says that other hosts of the zone read the store through this one.
+		readsForZone atomic.Bool
 		// currentBuilds reads the software versions in service from the store.
 		currentBuilds fpcoalesce.Reader[map[string][]string]
 		// unsentOrigins are those that the other hosts are told of next.
@@ -148,6 +153,7 @@
 		quarantine:     newQuarantine(),
 		uncertain:      make(map[string]time.Duration),
 		origins:        fporigin.NewTable(maxOrigins, originRetention(nil)),
+		archive:        fporigin.Archive{Retention: originRetention(nil), MaxOrigins: maxArchivedOrigins},
 
 		limitsAnnouncedAt:   make(map[string]time.Duration),
 		weightsAsked:        make(map[string]bool),
@@ -185,7 +191,7 @@
 	rollout := newRollout(g)
 	for _, f := range []func(context.Context) error{
 		g.logQueue.Run, g.runControl, follower.Run, g.maintainHostEntry, rollout.run, g.runEventReaders, g.receiveNotices, g.applyReloads,
-		g.runQuarantine, g.storeQuarantine, g.shareOrigins, g.confirmOwnOrigins, g.storeBuilds, g.probeUnreachable, g.checkSilentReplicas, g.checkSurvivals, g.guard.Run,
+		g.runQuarantine, g.storeQuarantine, g.shareOrigins, g.archiveOrigins, g.confirmOwnOrigins, g.storeBuilds, g.probeUnreachable, g.checkSilentReplicas, g.checkSurvivals, g.guard.Run,
 	} {
 		taskCtx, stop := context.WithCancel(inner)
 		r.Add(func() error { return f(taskCtx) }, func(error) { stop() })
--- a/internal/fpgateway/origin.go
+++ b/internal/fpgateway/origin.go
@@ -88,6 +88,11 @@
 	if !known && q.buildKnown {
 		e, known = fporigin.Entry{Origin: fporigin.Origin{Service: q.service.Name, Build: q.build}, Inference: q.inference}, true
 	}
+	if !known || !e.Certain() {
+		if build, archived := q.archivedOrigin(); archived {
+			return build, nil
+		}
+	}
 	if known {
 		return e.Build, q.confirmInference(ctx, e.Inference)
 	}
@@ -192,8 +197,10 @@
 	}
 }
 
-// enqueueOrigins has the other hosts told of origins, as many as there is room for. The gateway's mutex must be held.
+// enqueueOrigins has the other hosts and the store told of origins, as many as there is room for. The gateway's mutex must
+// be held.
 func (g *Gateway) enqueueOrigins(list ...fporigin.Entry) {
+	g.enqueueUnarchived(list...)
 	g.unsentOrigins = append(g.unsentOrigins, list[:min(len(list), maxUnsentOrigins-len(g.unsentOrigins))]...)
 }
 
@@ -232,5 +239,5 @@
 func (g *Gateway) setOriginRetention(c *fpcatalog.Catalog) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.origins.Retention = originRetention(c)
+	g.origins.Retention, g.archive.Retention = originRetention(c), originRetention(c)
 }
--- a/internal/fpgateway/peerread.go
+++ b/internal/fpgateway/peerread.go
@@ -96,7 +96,9 @@
 		p.WatchWait = min(p.WatchWait, revoke/watchesPerRevokeBound)
 	}
 	s := g.snapshot.Load()
-	if g.isZoneReader(s) {
+	reads := g.isZoneReader(s)
+	g.readsForZone.Store(reads)
+	if reads {
 		p.WatchWait, p.BatchDelay = min(p.WatchWait, sharedWatchWait), sharedBatchDelay
 		return p
 	}
--- a/internal/fpgateway/peers.go
+++ b/internal/fpgateway/peers.go
@@ -64,6 +64,11 @@
 	}
 	if n.RelayInZone {
 		n.RelayInZone = false
+		if n.Origins != nil {
+			relayed := *n.Origins
+			relayed.Relayed = true
+			n.Origins = &relayed
+		}
 		g.sendNotice(g.snapshot.Load().nearPeers, n)
 	}
 	if w := n.Weights; w != nil {
--- a/internal/fpgateway/share.go
+++ b/internal/fpgateway/share.go
@@ -85,9 +85,13 @@
 	case o.Build == unknownBuild:
 		e.Inference.Since = now
 	}
+	archived := !o.Relayed && slices.Contains(g.snapshot.Load().zoneHosts, host)
 	for _, id := range o.IDs {
 		e.ID = id
 		g.origins.Learn(e, now)
+		if archived {
+			g.enqueueUnarchived(e)
+		}
 	}
 	if seen, known := g.seenStarts[e.Inference.Replica]; known {
 		g.confirmOrigins(e.Inference.Replica, seen)
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -88,6 +88,8 @@
 		published   publications
 		cacheStores []fpbalance.CacheStore
 		hostCount   int
+		// zoneCount is the number of zones with hosts.
+		zoneCount int
 		// hostNames are all hosts and hostsByRegion those of each region, both sorted.
 		hostNames     []string
 		hostsByRegion map[string][]string
@@ -253,6 +255,10 @@
 		c.applyBuildEntry(i)
 		return
 	}
+	if isOriginKey(i.Key) {
+		c.gateway.applySegment(i, now)
+		return
+	}
 	if i.Key == orderLeaseKey {
 		c.orderLeaseHolder, c.orderLeaseRevision = string(i.Value), i.Revision
 		c.gateway.log("order lease entry received", "Holder", c.orderLeaseHolder, "Revision", i.Revision)
@@ -369,8 +375,10 @@
 	s.hostAddresses = make(map[string]*net.UDPAddr, len(c.hosts))
 	s.otherZones = make(map[string][]string)
 	s.hostNames = slices.Sorted(maps.Keys(c.hosts))
+	zones := make(map[string]bool)
 	for _, name := range s.hostNames {
 		h := c.hosts[name]
+		zones[h.zone] = true
 		s.hostsByRegion[h.region] = append(s.hostsByRegion[h.region], name)
 		s.hostAddresses[name] = h.address
 		place := c.gateway.settings().Place
@@ -389,6 +397,7 @@
 			s.nearPeers = append(s.nearPeers, h.address)
 		}
 	}
+	s.zoneCount = len(zones)
 	c.pruneReplicas(s.registered, now)
 	c.addBuilds(s, now)
 	c.gateway.markLeaving(s.registered)
--- a/internal/fpnotice/notice.go
+++ b/internal/fpnotice/notice.go
@@ -118,12 +118,14 @@
 	}
 
 	// StreamOrigins reports the software version of a service that began streams, by the IDs of the
-	// requests that brought their first events. Build is "?" if it is Inferred or unknown.
+	// requests that brought their first events. Build is "?" if it is Inferred or unknown. Relayed says that
+	// the notice came from another zone.
 	StreamOrigins struct {
 		Service  string
 		Build    string
 		IDs      []string
 		Inferred *InferredBuild `json:",omitempty"`
+		Relayed  bool           `json:",omitempty"`
 	}
 
 	// InferredBuild is the software version with which a start of a replica, in Unix milliseconds, is registered. It
