A host writes its own origins that its zone's reader of the store has not; messages and keys at builds side by side

Change: a host that is not the writer checks after three seconds whether the store has told its own streams' origins, and writes what is missing.

--- a/internal/fpgateway/archive.go
+++ b/internal/fpgateway/archive.go
@@ -27,7 +27,7 @@
 	maxArchivedOrigins = 1 << 17
 	maxSegmentOrigins  = 4096
 	// archiveHandover is how long a host keeps origins that another one of its zone writes, for the case that it takes
-	// over from it.
+	// over from it. It exceeds the time in which the store's changes reach all hosts.
 	archiveHandover = 3 * time.Second
 	// leasesPerRetention is in how many leases the segments of one retention are. A lease is not renewed, so that its
 	// segments outlast their writer for as long as streams may be taken up.
@@ -115,31 +115,24 @@
 func (g *Gateway) archiveOrigins(ctx context.Context) error {
 	a := &originArchiver{gateway: g, name: originKeyPrefix + g.settings().Host + "/" + strconv.FormatUint(rand.Uint64(), 36)}
 	for fpclock.Sleep(ctx, archiveIntervalOf(g.archiveWriters(g.snapshot.Load()))) {
-		if s := g.snapshot.Load(); g.archivesOrigins(s) {
-			if err := a.write(ctx, s); err != nil && ctx.Err() == nil {
-				g.log("stream origins not stored", "Error", err.Error())
-				fpclock.Sleep(ctx, hostLeaseRetryPause)
-			}
-			continue
+		s := g.snapshot.Load()
+		take := g.takeUnarchived
+		if !g.archivesOrigins(s) {
+			take = g.takeOverdue
+		}
+		if err := a.write(ctx, s, take); err != nil && ctx.Err() == nil {
+			g.log("stream origins not stored", "Error", err.Error())
+			fpclock.Sleep(ctx, hostLeaseRetryPause)
 		}
-		g.dropHandedOver()
 	}
 	last, cancel := context.WithTimeout(context.Background(), shutdownMargin)
 	defer cancel()
-	if err := a.write(last, g.snapshot.Load()); err != nil {
+	if err := a.write(last, g.snapshot.Load(), g.takeUnarchived); err != nil {
 		g.log("stream origins not stored", "Error", err.Error())
 	}
 	return nil
 }
 
-// dropHandedOver drops the origins that another host of the zone has had the time to write.
-func (g *Gateway) dropHandedOver() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.clock()
-	g.unarchived = slices.DeleteFunc(g.unarchived, func(o unarchivedOrigin) bool { return now-o.since >= archiveHandover })
-}
-
 func archiveIntervalOf(writers int) time.Duration {
 	return max(archiveInterval, time.Duration(writers)*archiveIntervalPerWriter)
 }
@@ -158,12 +151,12 @@
 	return g.readsForZone.Load() || len(s.zoneHosts) < 2 || g.noticeSocket == nil || !g.settings().allowsSharedReads()
 }
 
-// write writes the origins that are not in the store.
-func (a *originArchiver) write(ctx context.Context, s *snapshot) error {
+// write writes the origins that take returns.
+func (a *originArchiver) write(ctx context.Context, s *snapshot, take func() []fporigin.Entry) error {
 	if s.catalog == nil || s.storeUnreachable {
 		return nil
 	}
-	list := a.take()
+	list := take()
 	if len(list) == 0 {
 		return nil
 	}
@@ -179,9 +172,8 @@
 	return err
 }
 
-// take returns the next origins to write.
-func (a *originArchiver) take() []fporigin.Entry {
-	g := a.gateway
+// takeUnarchived returns the next origins to write.
+func (g *Gateway) takeUnarchived() []fporigin.Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	n := min(len(g.unarchived), maxSegmentOrigins)
@@ -193,6 +185,25 @@
 	return list
 }
 
+// takeOverdue drops the origins that another host of the zone has had the time to write, and returns those of this host's
+// streams that the store has not told since: the other one may be of a build that writes none.
+func (g *Gateway) takeOverdue() []fporigin.Entry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now, host := g.clock(), g.settings().Host
+	var list []fporigin.Entry
+	g.unarchived = slices.DeleteFunc(g.unarchived, func(o unarchivedOrigin) bool {
+		if now-o.since < archiveHandover {
+			return false
+		}
+		if _, _, found := g.archive.Find(o.Service, o.ID, now); !found && o.Host == host && len(list) < maxSegmentOrigins {
+			list = append(list, o.Entry)
+		}
+		return true
+	})
+	return list
+}
+
 func (a *originArchiver) putBack(list []fporigin.Entry) {
 	g := a.gateway
 	g.mu.Lock()
--- a/internal/fpgateway/archive_test.go
+++ b/internal/fpgateway/archive_test.go
@@ -63,7 +63,7 @@
 					}
 					s := &snapshot{catalog: fpcatalog.New(fpcatalog.Document{}), incarnation: memory.Incarnation()}
 					calls++
-					if err := a.write(t.Context(), s); err == nil {
+					if err := a.write(t.Context(), s, g.takeUnarchived); err == nil {
 						clear(unwritten)
 					}
 					switch random.IntN(300) {
@@ -123,7 +123,7 @@
 			g.enqueueUnarchived(fporigin.Entry{Origin: fporigin.Origin{Service: "s", Build: "v1"}, ID: fmt.Sprint(part, "-", n)})
 		}
 		g.mu.Unlock()
-		is.NoErr(a.write(t.Context(), s))
+		is.NoErr(a.write(t.Context(), s, g.takeUnarchived))
 	}
 	is.Equal(g.archive.Len(), maxArchivedOrigins/zones)
 	is.Equal(len(memory.Range(originKeyPrefix, "", time.Time{}).Items), 2)
@@ -164,3 +164,22 @@
 		})
 	}
 }
+
+// TestOverdueOrigins checks what a host writes whose zone's origins another one should write: those of its own streams
+// that the store has not told in time. It guards against a reader of the store of an earlier build.
+func TestOverdueOrigins(t *testing.T) {
+	is := is.New(t)
+	now := time.Second
+	g := New(Settings{Host: "h1"}.WithDefaults(), Dependencies{Clock: func() time.Duration { return now }, Log: fplog.NewQueue(&bytes.Buffer{})})
+	entry := func(id, host string) fporigin.Entry {
+		return fporigin.Entry{Origin: fporigin.Origin{Service: "s", Build: "v1"}, ID: id, Host: host}
+	}
+	g.enqueueUnarchived(entry("own", "h1"), entry("told", "h1"), entry("other's", "h2"))
+	is.Equal(len(g.takeOverdue()), 0)
+	g.archive.Add(fporigin.NewSegment([]fporigin.Entry{entry("told", "h1")}), now)
+	now += archiveHandover
+	g.enqueueUnarchived(entry("later", "h1"))
+	is.Equal(g.takeOverdue(), []fporigin.Entry{entry("own", "h1")})
+	is.Equal(g.takeOverdue(), nil)
+	is.Equal(len(g.unarchived), 1)
+}
--- a/internal/fpgateway/former_test.go
+++ b/internal/fpgateway/former_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -35,3 +37,27 @@
 	is.NoErr(err)
 	is.Equal(string(written), build)
 }
+
+// TestSegmentInStore pins how stream origins stand in the store, where hosts of other builds read them. That of 1eb6711
+// has no such keys and takes none of their items for anything else.
+func TestSegmentInStore(t *testing.T) {
+	is := is.New(t)
+	const value = `[{"Service":"s","Build":"v1","Digests":"ypeBEsobvcr6wjGz"}]`
+	s, err := fporigin.UnmarshalSegment([]byte(value))
+	is.NoErr(err)
+	is.Equal(s.Len(), 1)
+	written, err := s.Marshal()
+	is.NoErr(err)
+	is.Equal(string(written), value)
+	a := fporigin.Archive{Retention: time.Second, MaxOrigins: 1}
+	a.Add(s, 0)
+	o, _, found := a.Find("s", "a", 0)
+	is.True(found)
+	is.Equal(o.Build, "v1")
+	key := originKeyPrefix + "h1/a-1"
+	is.True(isOriginKey(key))
+	is.True(!isBuildKey(key))
+	for _, prefix := range []string{hostKeyPrefix, quarantineKeyPrefix, notedWeightsPrefix, recentWeightsPrefix, orderLeaseKey} {
+		is.True(!strings.HasPrefix(key, prefix))
+	}
+}
--- a/internal/fpnotice/former_test.go
+++ b/internal/fpnotice/former_test.go
@@ -12,7 +12,7 @@
 // TestNoticesOfFormerBuild reads the notices that former builds write, and checks that this build writes the same
 // for the same content: hosts of both builds serve side by side during an upgrade.
 func TestNoticesOfFormerBuild(t *testing.T) {
-	for _, build := range []string{"7c711f0", "3096b97"} {
+	for _, build := range []string{"7c711f0", "3096b97", "1eb6711"} {
 		data, err := os.ReadFile("testdata/" + build + ".json")
 		is.New(t).NoErr(err)
 		var samples map[string]json.RawMessage
@@ -54,3 +54,37 @@
 	is.Equal(n.Origins.Build, "?")
 	is.Equal(n.Origins.IDs, []string{"a"})
 }
+
+// TestNoticesAtFormerBuild reads notices of this build as that of 1eb6711 does, which has no survivals and does not know
+// relayed origins.
+func TestNoticesAtFormerBuild(t *testing.T) {
+	tests := map[string]Notice{
+		"survivals": {Host: "h1", Survived: &PartsSurvived{Begun: true, IDs: []string{"p"}, SentAgesMs: []int64{900}, LivedMs: []int64{800}}},
+		"relayed":   {Host: "h1", Origins: &StreamOrigins{Service: "s", Build: "v1", IDs: []string{"a"}, Relayed: true}},
+	}
+	for name, sent := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			data, err := json.Marshal(sent)
+			is.NoErr(err)
+			var n struct {
+				Host     string
+				Answered *struct{ IDs []string }
+				Crash    *struct{ Replica string }
+				Origins  *struct {
+					Service string
+					Build   string
+					IDs     []string
+				}
+			}
+			is.NoErr(json.Unmarshal(data, &n))
+			is.True(n.Answered == nil && n.Crash == nil) // no evidence of another kind
+			if sent.Origins == nil {
+				is.True(n.Origins == nil)
+				return
+			}
+			is.Equal(n.Origins.Build, "v1")
+			is.Equal(n.Origins.IDs, []string{"a"})
+		})
+	}
+}
