The own interface forgets the lives of upstreams that left; refused writes take no share of the store

Read as a newcomer: upstreams that left a view stayed in the tracker for good, and a write that the store refused counted as one that it has.

--- a/internal/fpdispatch/quarantine.go
+++ b/internal/fpdispatch/quarantine.go
@@ -77,25 +77,21 @@
 	}
 	now := time.Since(d.startedAt)
 	d.quarantine.RecordCrash(replica, parts, now)
-	for name := range d.runningUpstreams() {
-		if name != replica {
-			d.quarantine.RecordRunning(name, now)
-		}
-	}
+	d.quarantine.RecordRunning(d.runningUpstreams(replica), now)
 }
 
-// runningUpstreams returns the names of the replicas and of the services' upstreams that take requests.
-func (d *Dispatcher) runningUpstreams() iter.Seq[string] {
+// runningUpstreams returns the names of the replicas and of the services' upstreams that take requests, without one.
+func (d *Dispatcher) runningUpstreams(without string) iter.Seq[string] {
 	return func(yield func(string) bool) {
 		s := d.state.Load()
 		for _, r := range s.View.Replicas {
-			if !r.Down && !yield(r.Name) {
+			if !r.Down && r.Name != without && !yield(r.Name) {
 				return
 			}
 		}
 		for _, upstreams := range s.Services {
 			for _, u := range upstreams {
-				if u.Reachable && !yield(u.Name) {
+				if u.Reachable && u.Name != without && !yield(u.Name) {
 					return
 				}
 			}
--- a/internal/fpgateway/archive.go
+++ b/internal/fpgateway/archive.go
@@ -240,10 +240,12 @@
 	}
 	a.segments++
 	key := a.name + "-" + strconv.Itoa(a.segments)
-	a.written = append(a.written, writtenSegment{at: now, origins: segment.Len()})
 	_, err = g.store.Commit(ctx, fpstore.Transaction{Puts: []fpstore.Put{{Key: key, Value: value, Lease: a.lease}}})
-	if errors.Is(err, fpstore.ErrLeaseNotFound) {
+	switch {
+	case errors.Is(err, fpstore.ErrLeaseNotFound):
 		a.leaseUntil = 0
+	case err == nil, !errors.Is(err, fpstore.ErrRefused):
+		a.written = append(a.written, writtenSegment{at: now, origins: segment.Len()})
 	}
 	if err != nil {
 		return err
--- a/pkg/fpquarantine/alone_test.go
+++ b/pkg/fpquarantine/alone_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -161,10 +162,12 @@
 	tracker.Convict(10 * time.Second)
 	tracker.RecordCrash("r1", []Part{{ID: "a", Request: true, SentAt: 4 * time.Second}}, 4*time.Second)
 	is.Equal(tracker.crashes[0].uptime, 3*time.Second)
-	tracker.RecordRunning("r1", 6*time.Second)
-	tracker.RecordRunning("r1", 7*time.Second)
-	is.Equal(tracker.lives["r1"].since, 6*time.Second)
-	tracker.RecordEnd("r1", 8*time.Second)
+	tracker.RecordRunning(slices.Values([]string{"r1", "r2"}), 6*time.Second)
+	tracker.RecordRunning(slices.Values([]string{"r1"}), 7*time.Second)
+	is.Equal(tracker.lives, map[string]life{"r1": {since: 6 * time.Second}, "r2": {since: 6 * time.Second, endedAt: 7 * time.Second}})
+	tracker.RecordRunning(slices.Values([]string{"r2"}), 8*time.Second)
+	is.Equal(tracker.lives["r2"], life{since: 8 * time.Second})
+	tracker.RecordEnd("r2", 8*time.Second)
 	tracker.Convict(8*time.Second + evidenceTTL + 1)
 	is.Equal(len(tracker.lives), 0)
 }
--- a/pkg/fpquarantine/tracker.go
+++ b/pkg/fpquarantine/tracker.go
@@ -161,10 +161,19 @@
 // RecordStart records that a replica runs from a time on.
 func (t *Tracker) RecordStart(replica string, at time.Duration) { t.lives[replica] = life{since: at} }
 
-// RecordRunning records that a replica runs at a time, which begins its life unless it is known to have run before.
-func (t *Tracker) RecordRunning(replica string, at time.Duration) {
-	if _, known := t.lives[replica]; !known {
-		t.RecordStart(replica, at)
+// RecordRunning records that the given replicas run at a time, and no others.
+func (t *Tracker) RecordRunning(replicas iter.Seq[string], at time.Duration) {
+	running := make(map[string]bool)
+	for id := range replicas {
+		running[id] = true
+		if l, known := t.lives[id]; !known || l.endedAt > 0 {
+			t.RecordStart(id, at)
+		}
+	}
+	for id, l := range t.lives {
+		if !running[id] && l.endedAt == 0 {
+			t.RecordEnd(id, at)
+		}
 	}
 }
 
