--- a/internal/fpgateway/origin.go
+++ b/internal/fpgateway/origin.go
@@ -90,6 +90,7 @@
 	}
 	if !known || !e.Certain() {
 		if build, archived := q.archivedOrigin(); archived {
+			q.appendTrail("the store tells that software version %s began the stream", build)
 			return build, nil
 		}
 	}
--- a/pkg/fporigin/archive_test.go
+++ b/pkg/fporigin/archive_test.go
@@ -96,6 +96,36 @@
 	is.Equal(a.Len(), 1)
 }
 
+// BenchmarkArchive measures to look up a stream, and to read and add a segment of 600, where 1<<17 are known.
+func BenchmarkArchive(b *testing.B) {
+	a := Archive{Retention: time.Hour, MaxOrigins: 1 << 17}
+	var data []byte
+	for n := 0; n < a.MaxOrigins; {
+		var list []Entry
+		for range 600 {
+			list = append(list, entry(fmt.Sprint(n), "v1"))
+			n++
+		}
+		s := NewSegment(list)
+		data, _ = s.Marshal()
+		a.Add(s, time.Duration(n))
+	}
+	b.Run("find", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			a.Find("s", "77777", time.Minute)
+		}
+	})
+	b.Run("add", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			s, _ := UnmarshalSegment(data)
+			a.Add(s, time.Minute)
+		}
+	})
+	b.Logf("a segment of 600 takes %d bytes", len(data))
+}
+
 // TestUnmarshalSegment checks that bytes of another writer make no segment.
 func TestUnmarshalSegment(t *testing.T) {
 	for name, data := range map[string]string{
