A full share of the store keeps the latest origins of streams

Seen by reckoning: at the size of two years from now a zone's share of the store, 4,500 origins, is full after 2.3 s, and what came later was not written for a minute, until the first leases ended. The streams that run as hosts die are the latest.

Change: a write that finds no room drops the writer's oldest segments in the same transaction, 24 at most.

Test: TestArchiveIsShared asks for the latest origins now; before, the first ones stood there.

--- a/internal/fpgateway/archive.go
+++ b/internal/fpgateway/archive.go
@@ -22,10 +22,11 @@
 	// writes of all hosts that do: together they make a quarter of what the smallest store takes at most.
 	archiveInterval          = 300 * time.Millisecond
 	archiveIntervalPerWriter = 10 * time.Millisecond
-	// maxArchivedOrigins bounds the origins in the store, of all writers together, and maxSegmentOrigins those that one
-	// write adds.
+	// maxArchivedOrigins bounds the origins in the store, of all writers together, maxSegmentOrigins those that one write
+	// adds, and maxDroppedSegments the segments that it drops to make room.
 	maxArchivedOrigins = 1 << 17
 	maxSegmentOrigins  = 4096
+	maxDroppedSegments = 24
 	// archiveHandover is how long a host keeps origins that another one of its zone writes, for the case that it takes
 	// over from it. It exceeds the time in which the store's changes reach all hosts.
 	archiveHandover = 3 * time.Second
@@ -54,8 +55,9 @@
 		written []writtenSegment
 	}
 
-	// writtenSegment is when a segment was written and how many origins it has.
+	// writtenSegment is when a segment was written under a key, and how many origins it has.
 	writtenSegment struct {
+		key     string
 		at      time.Duration
 		origins int
 	}
@@ -161,11 +163,12 @@
 		return nil
 	}
 	segment := fporigin.NewSegment(list)
-	if !a.hasRoom(segment.Len(), s) {
+	drop, room := a.makeRoom(segment.Len(), s)
+	if !room {
 		a.gateway.metrics.AddToCounter("stream_origins_not_archived", segment.Len())
 		return nil
 	}
-	err := a.commit(ctx, s, segment)
+	err := a.commit(ctx, s, segment, drop)
 	if err != nil {
 		a.putBack(list)
 	}
@@ -211,17 +214,23 @@
 	g.enqueueUnarchived(list...)
 }
 
-// hasRoom reports whether the store has room for as many more origins of this host.
-func (a *originArchiver) hasRoom(origins int, s *snapshot) bool {
+// makeRoom returns how many of the oldest segments have to go so that this host's share of the store holds as many more
+// origins: the latest streams are those that most likely still run. It returns false if that is not enough.
+func (a *originArchiver) makeRoom(origins int, s *snapshot) (drop int, room bool) {
 	now := a.gateway.clock()
 	a.written = slices.DeleteFunc(a.written, func(w writtenSegment) bool { return now-w.at >= archiveTTL(s) })
 	for _, w := range a.written {
 		origins += w.origins
 	}
-	return origins <= maxArchivedOrigins/a.gateway.archiveWriters(s)
+	share := maxArchivedOrigins / a.gateway.archiveWriters(s)
+	for ; origins > share && drop < min(len(a.written), maxDroppedSegments); drop++ {
+		origins -= a.written[drop].origins
+	}
+	return drop, origins <= share
 }
 
-func (a *originArchiver) commit(ctx context.Context, s *snapshot, segment fporigin.Segment) error {
+// commit writes a segment and deletes some of the oldest.
+func (a *originArchiver) commit(ctx context.Context, s *snapshot, segment fporigin.Segment, drop int) error {
 	g := a.gateway
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
@@ -240,12 +249,18 @@
 	}
 	a.segments++
 	key := a.name + "-" + strconv.Itoa(a.segments)
-	_, err = g.store.Commit(ctx, fpstore.Transaction{Puts: []fpstore.Put{{Key: key, Value: value, Lease: a.lease}}})
+	t := fpstore.Transaction{Puts: []fpstore.Put{{Key: key, Value: value, Lease: a.lease}}}
+	for _, w := range a.written[:drop] {
+		t.Deletes = append(t.Deletes, w.key)
+	}
+	_, err = g.store.Commit(ctx, t)
 	switch {
 	case errors.Is(err, fpstore.ErrLeaseNotFound):
 		a.leaseUntil = 0
-	case err == nil, !errors.Is(err, fpstore.ErrRefused):
-		a.written = append(a.written, writtenSegment{at: now, origins: segment.Len()})
+	case err == nil:
+		a.written = append(slices.Delete(a.written, 0, drop), writtenSegment{key: key, at: now, origins: segment.Len()})
+	case !errors.Is(err, fpstore.ErrRefused):
+		a.written = append(a.written, writtenSegment{key: key, at: now, origins: segment.Len()})
 	}
 	if err != nil {
 		return err
--- a/internal/fpgateway/archive_test.go
+++ b/internal/fpgateway/archive_test.go
@@ -106,7 +106,8 @@
 	}
 }
 
-// TestArchiveIsShared checks how many hosts write, how often, and that each keeps to its share of the store.
+// TestArchiveIsShared checks how many hosts write, how often, and that each keeps to its share of the store, with the latest
+// origins in it.
 func TestArchiveIsShared(t *testing.T) {
 	is := is.New(t)
 	memory := fpmemory.New()
@@ -117,17 +118,27 @@
 	is.Equal(archiveIntervalOf(zones), zones*archiveIntervalPerWriter)
 	is.Equal(archiveIntervalOf(3), archiveInterval)
 	a := &originArchiver{gateway: g, name: originKeyPrefix + "h1/a"}
-	for part := range 3 {
+	const share, parts, size = maxArchivedOrigins / zones, 12, maxArchivedOrigins / zones / 5
+	for part := range parts {
 		g.mu.Lock()
-		for n := range maxArchivedOrigins / zones / 2 {
+		for n := range size {
 			g.enqueueUnarchived(fporigin.Entry{Origin: fporigin.Origin{Service: "s", Build: "v1"}, ID: fmt.Sprint(part, "-", n)})
 		}
 		g.mu.Unlock()
 		is.NoErr(a.write(t.Context(), s, g.takeUnarchived))
 	}
-	is.Equal(g.archive.Len(), maxArchivedOrigins/zones)
-	is.Equal(len(memory.Range(originKeyPrefix, "", time.Time{}).Items), 2)
 	is.Equal(len(g.unarchived), 0)
+	stored := fporigin.Archive{Retention: time.Hour, MaxOrigins: maxArchivedOrigins}
+	for _, i := range memory.Range(originKeyPrefix, "", time.Time{}).Items {
+		segment, err := fporigin.UnmarshalSegment(i.Value)
+		is.NoErr(err)
+		stored.Add(segment, 0)
+	}
+	is.Equal(stored.Len(), share/size*size)
+	for part := range parts {
+		_, _, found := stored.Find("s", fmt.Sprint(part, "-0"), 0)
+		is.Equal(found, part >= parts-share/size) // the latest
+	}
 }
 
 // TestForeignSegment checks that entries of another writer under the keys of segments make no origin and end nothing.
