Trials are sent over new connections, so that a host that is cut off blames no request

Seen: no caller has; found by reading. A host whose kept connections are all reset as they are used, and whose new ones are refused, takes each replica for crashed. Until it convicted nobody, since nothing was answered there; now a request that it sends again and again would look like the cause, and be kept from replicas at all hosts.

Change: a trial asks for a new connection. One that opened shows that the host reaches the replica; where none opens, nothing is sent and nothing is evidence.

--- a/internal/fpgateway/dispatch.go
+++ b/internal/fpgateway/dispatch.go
@@ -334,10 +334,11 @@
 	}
 }
 
-// maxIdle returns how recently a kept connection must have been used to carry the request.
+// maxIdle returns how recently a kept connection must have been used to carry the request. A trial gets a new one, which
+// proves that this host reaches the replica: where a host is cut off, resets tell nothing of the request.
 func (q *request) maxIdle() time.Duration {
 	switch {
-	case q.needsNewConnection():
+	case len(q.suspects) > 0, q.needsNewConnection():
 		return 0
 	case q.route.Repeatable():
 		return maxIdleRepeatable
