The chance of a crash follows from the rate of the service's crashes, not from the age of one replica

Change: the rate is that of the service: its crashes without such a trial, and one more, over all the time that its replicas are known to have run.

--- a/internal/fpdispatch/quarantine.go
+++ b/internal/fpdispatch/quarantine.go
@@ -80,18 +80,19 @@
 	d.quarantine.RecordRunning(d.runningUpstreams(replica), now)
 }
 
-// runningUpstreams returns the names of the replicas and of the services' upstreams that take requests, without one.
-func (d *Dispatcher) runningUpstreams(without string) iter.Seq[string] {
-	return func(yield func(string) bool) {
+// runningUpstreams returns the names of the replicas and of the services' upstreams that take requests, without one, each
+// with its model or service.
+func (d *Dispatcher) runningUpstreams(without string) iter.Seq2[string, string] {
+	return func(yield func(string, string) bool) {
 		s := d.state.Load()
 		for _, r := range s.View.Replicas {
-			if !r.Down && r.Name != without && !yield(r.Name) {
+			if !r.Down && r.Name != without && !yield(r.Name, r.Model) {
 				return
 			}
 		}
-		for _, upstreams := range s.Services {
+		for service, upstreams := range s.Services {
 			for _, u := range upstreams {
-				if u.Reachable && u.Name != without && !yield(u.Name) {
+				if u.Reachable && u.Name != without && !yield(u.Name, service) {
 					return
 				}
 			}
--- a/internal/fpgateway/state.go
+++ b/internal/fpgateway/state.go
@@ -342,7 +342,7 @@
 		c.gateway.log("replica draining", "Replica", r.ID, "Revision", r.Revision)
 	}
 	if startTime, ok := c.startTimes[r.ID]; !ok || startTime != r.StartUnixMilli {
-		c.gateway.recordReplicaStart(r.ID, now)
+		c.gateway.recordReplicaStart(r.ID, r.Service, now)
 	}
 	c.startTimes[r.ID] = r.StartUnixMilli
 	if len(r.Weights) > 0 && !registrationsDue(c.restoredAt, now) {
--- a/internal/fpgateway/survival.go
+++ b/internal/fpgateway/survival.go
@@ -38,10 +38,10 @@
 )
 
 // recordReplicaStart records that a start of a replica was registered, and recordReplicaEnd that it is gone.
-func (g *Gateway) recordReplicaStart(id string, at time.Duration) {
+func (g *Gateway) recordReplicaStart(id, service string, at time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.quarantine.tracker.RecordStart(id, at)
+	g.quarantine.tracker.RecordStart(id, service, at)
 }
 
 func (g *Gateway) recordReplicaEnd(id string, at time.Duration) {
--- a/pkg/fpquarantine/evidence.go
+++ b/pkg/fpquarantine/evidence.go
@@ -32,6 +32,8 @@
 		// failedAt is the time of the last failure, and lastSuddenAt that of the last sudden crash.
 		failedAt     time.Duration
 		lastSuddenAt time.Duration
+		// sudden holds the crashes of the sudden trials, with the attempts that they broke off.
+		sudden map[*crash]attempt
 		// firstCrash is the number of crashes before the first.
 		firstCrash int
 		// answersBefore is the number of complete answers before the first crash.
@@ -182,7 +184,6 @@
 			e := out[id]
 			if e == nil {
 				e = &evidence{id: id, firstCrash: crashes - 1, answersBefore: c.answersBefore}
-				e.Chance = 1
 				out[id] = e
 			}
 			e.Crashes++
@@ -199,9 +200,7 @@
 			if id == triedPart || id == triedRequest {
 				e.Trials++
 				if !a.outlived {
-					e.Sudden++
-					e.Chance *= c.chance(a)
-					e.lastSuddenAt = c.at
+					e.addSudden(c, a)
 				}
 			}
 			if !e.sufficient && convicts(e.Suspicion) && t.answers-e.answersBefore >= minOtherAnswers {
@@ -209,6 +208,66 @@
 			}
 		}
 	}
+	t.reckonChances(out)
+	return out
+}
+
+func (e *evidence) addSudden(c *crash, a attempt) {
+	if e.sudden == nil {
+		e.sudden = make(map[*crash]attempt)
+	}
+	e.sudden[c] = a
+	e.Sudden++
+	e.lastSuddenAt = c.at
+}
+
+// reckonChances sets the probability that the replicas of sudden trials crashed by themselves, from the rate at which the
+// replicas of their services crash otherwise, with one more crash assumed, and those of unknown services.
+func (t *Tracker) reckonChances(list map[string]*evidence) {
+	var ran map[string]time.Duration
+	for _, e := range list {
+		e.Chance = 1
+		if e.Sudden == 0 {
+			continue
+		}
+		if ran == nil {
+			ran = t.timeRun()
+		}
+		others := t.crashesWithout(e.sudden)
+		for c, a := range e.sudden {
+			if seconds := ran[c.service].Seconds(); seconds > 0 {
+				e.Chance *= min(1, max(c.at-a.sentAt, minCrashTime).Seconds()*float64(others[c.service]+others[""]+1)/seconds)
+			}
+		}
+	}
+}
+
+// timeRun returns for how long the replicas of each service have run in all, within evidenceTTL.
+func (t *Tracker) timeRun() map[string]time.Duration {
+	out := make(map[string]time.Duration)
+	for _, l := range t.lives {
+		end := t.judgedAt
+		if l.endedAt > 0 {
+			end = l.endedAt
+		}
+		out[l.service] += max(end-max(l.since, t.judgedAt-evidenceTTL), 0)
+	}
+	for _, c := range t.crashes {
+		if !c.aged {
+			out[c.service] += min(c.uptime, evidenceTTL)
+		}
+	}
+	return out
+}
+
+// crashesWithout returns the number of crashes of replicas of each service that nothing explains, without the given ones.
+func (t *Tracker) crashesWithout(without map[*crash]attempt) map[string]int {
+	out := make(map[string]int)
+	for _, c := range t.crashes {
+		if _, ok := without[c]; !ok && !c.aged && !c.requestExplained {
+			out[c.service]++
+		}
+	}
 	return out
 }
 
@@ -230,15 +289,6 @@
 	return part, request
 }
 
-// chance returns the probability that a replica which crashed by itself did so within the time for which it had the
-// attempt.
-func (c *crash) chance(a attempt) float64 {
-	if c.uptime <= 0 {
-		return 1
-	}
-	return min(1, float64(max(c.at-a.sentAt, minCrashTime))/float64(c.uptime))
-}
-
 // Suspects returns the parts and requests that several crashes in sequence speak against, none of which is
 // in quarantine, by ID. To repeat a request with one of them may cost another replica.
 func (t *Tracker) Suspects() map[string]Suspicion {
--- a/pkg/fpquarantine/tracker.go
+++ b/pkg/fpquarantine/tracker.go
@@ -110,10 +110,13 @@
 		combinations map[string]bool
 		// lives holds since when each replica has been known to run.
 		lives map[string]life
+		// judgedAt is the time of the last judgement.
+		judgedAt time.Duration
 	}
 
-	// life is the time in which a replica is known to run; endedAt is 0 while it does.
+	// life is the time in which a replica of a service is known to run; endedAt is 0 while it does.
 	life struct {
+		service string
 		since   time.Duration
 		endedAt time.Duration
 	}
@@ -129,8 +132,9 @@
 		trials map[string]bool
 		// answersBefore is the number of complete answers before the crash became known.
 		answersBefore int
-		// uptime is how long the replica had been known to run, 0 if it was unknown.
-		uptime time.Duration
+		// service is that of the replica, and uptime how long that had been known to run, 0 if it was unknown.
+		service string
+		uptime  time.Duration
 		// explained says that one of the parts is in quarantine, so that the crash speaks against no
 		// other, and requestExplained the same of the requests. A part may crash the replicas under
 		// many requests, so that a request does not explain a crash for the parts.
@@ -158,16 +162,18 @@
 	}
 }
 
-// RecordStart records that a replica runs from a time on.
-func (t *Tracker) RecordStart(replica string, at time.Duration) { t.lives[replica] = life{since: at} }
+// RecordStart records that a replica of a service runs from a time on.
+func (t *Tracker) RecordStart(replica, service string, at time.Duration) {
+	t.lives[replica] = life{service: service, since: at}
+}
 
-// RecordRunning records that the given replicas run at a time, and no others.
-func (t *Tracker) RecordRunning(replicas iter.Seq[string], at time.Duration) {
+// RecordRunning records that the given replicas run at a time, each of a service, and no others.
+func (t *Tracker) RecordRunning(replicas iter.Seq2[string, string], at time.Duration) {
 	running := make(map[string]bool)
-	for id := range replicas {
+	for id, service := range replicas {
 		running[id] = true
 		if l, known := t.lives[id]; !known || l.endedAt > 0 {
-			t.RecordStart(id, at)
+			t.RecordStart(id, service, at)
 		}
 	}
 	for id, l := range t.lives {
@@ -260,7 +266,7 @@
 	}
 	c := &crash{replica: replica, at: at, parts: make(map[string]attempt), requests: make(map[string]attempt), trials: make(map[string]bool), answersBefore: t.answers}
 	if l, ok := t.lives[replica]; ok {
-		c.uptime = at - l.since
+		c.service, c.uptime = l.service, at-l.since
 		delete(t.lives, replica)
 	}
 	i, _ := slices.BinarySearchFunc(t.crashes, at, func(c *crash, at time.Duration) int { return int(c.at - at) })
@@ -376,6 +382,7 @@
 // ageCrashes drops the evidence that is too old. Of the requests at crashes that no longer count against
 // parts, those that were at another crash are kept.
 func (t *Tracker) ageCrashes(now time.Duration) {
+	t.judgedAt = now
 	maps.DeleteFunc(t.lives, func(_ string, l life) bool { return l.endedAt > 0 && now-l.endedAt > evidenceTTL })
 	for len(t.crashes) > 0 && now-t.crashes[0].at > requestEvidenceTTL {
 		t.dropOldest()
