--- a/internal/fpgateway/quarantine.go
+++ b/internal/fpgateway/quarantine.go
@@ -303,10 +303,10 @@
 	return nil
 }
 
-// logSuspects logs what is suspected now and what no longer is.
+// logSuspects logs what is suspected now and what no longer is. The chance alone, which falls as replicas live on, is no news.
 func (g *Gateway) logSuspects(before, after map[string]fpquarantine.Suspicion) {
 	for id, s := range after {
-		if s != before[id] {
+		if known, ok := before[id]; !ok || !s.CountsEqual(known) {
 			g.log("suspected of crashing replicas", "Part", id, "Crashes", s.Crashes, "Links", s.Links, "Failures", s.Failures, "Trials", s.Trials, "Sudden", s.Sudden, "Chance", s.Chance)
 		}
 	}
--- a/pkg/fpquarantine/alone_test.go
+++ b/pkg/fpquarantine/alone_test.go
@@ -212,6 +212,8 @@
 		return tracker.Suspects()["dead"].Chance
 	}
 	is := is.New(t)
+	is.True(Suspicion{Links: 2, Chance: 0.1}.CountsEqual(Suspicion{Links: 2, Chance: 0.2}))
+	is.True(!Suspicion{Links: 2}.CountsEqual(Suspicion{Links: 3}))
 	is.True(chance("s", 8) < chance("s", 0)/4)
 	is.Equal(chance("other", 8), chance("s", 0))
 }
--- a/pkg/fpquarantine/evidence.go
+++ b/pkg/fpquarantine/evidence.go
@@ -44,6 +44,12 @@
 	}
 )
 
+// CountsEqual reports whether both count the same crashes. The chance falls by itself as replicas live on.
+func (s Suspicion) CountsEqual(o Suspicion) bool {
+	s.Chance, o.Chance = 0, 0
+	return s == o
+}
+
 // suspected reports whether a trial of the part, or the request, is due.
 func (s Suspicion) suspected() bool { return s.Links >= minSuspectLinks }
 
