--- a/internal/fpingress/ingress_test.go
+++ b/internal/fpingress/ingress_test.go
@@ -233,11 +233,13 @@
 	tests := map[string]struct {
 		text    string
 		clients int
+		// held is the least memory that the clients take before another one comes.
+		held int64
 	}{
-		"bodies without their last byte": {post("/read", testBodyBytes) + strings.Repeat("x", testBodyBytes-1), 1},
-		"heads without their end":        {"GET /read HTTP/1.1\r\n" + fields(testHeaderBytes-100), 40},
-		"answers that are not read":      {"GET /long HTTP/1.1\r\nHost: h\r\n" + fields(testHeaderBytes-100) + "\r\n", 40},
-		"silent channels":                {"", 300},
+		"bodies without their last byte": {post("/read", testBodyBytes) + strings.Repeat("x", testBodyBytes-1), 1, testBodyBytes},
+		"heads without their end":        {"GET /read HTTP/1.1\r\n" + fields(testHeaderBytes-100), 40, 0},
+		"answers that are not read":      {"GET /long HTTP/1.1\r\nHost: h\r\n" + fields(testHeaderBytes-100) + "\r\n", 40, 0},
+		"silent channels":                {"", 300, 0},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -246,6 +248,7 @@
 			for range tt.clients {
 				_, _ = s.dial(tt.text)
 			}
+			s.await("the clients to be held", func() bool { return s.budget.Used() >= tt.held })
 			s.await("a long body to be served", func() bool {
 				_, r := s.dial(post("/read", testBodyBytes) + strings.Repeat("x", testBodyBytes))
 				res, err := http.ReadResponse(r, nil)
